--- /dev/null
+++ b/tools/install-deps.sh
@@ -0,0 +1,17 @@
+#!/bin/bash
+# Installs the Debian packages that the build needs, if any is missing.
+set -euo pipefail
+packages=(
+  cmake make gcc pkg-config clang-format clang-tidy
+  libevent-dev libmsgpack-dev libargtable2-dev liblog4c-dev libglib2.0-dev
+  libjansson-dev libxxhash-dev libsodium-dev libgsl-dev
+)
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
+    grep -q 'install ok installed' || missing+=("$package")
+done
+if [ ${#missing[@]} -gt 0 ]; then
+  apt-get update
+  DEBIAN_FRONTEND=noninteractive apt-get install -y "${missing[@]}"
+fi
