Add core types, tables and message encoding

Cause: the path needs its messages, tokens and records before any process.

Change: state types (address, message, document, instances, view, flows, requests, answers, timers, counters), msgpack encoding, keyed hashes and envelopes. A request id names one submission, which replaces the separate binding number: a late reply to an earlier submission cannot be taken for the current one.

--- /dev/null
+++ b/src/protocol/reader.h
@@ -0,0 +1,38 @@
+#ifndef GB_PROTOCOL_READER_H
+#define GB_PROTOCOL_READER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/message.h"
+
+/* Decoder of one flat msgpack array of at most 15 items. It refuses nested
+ * containers before msgpack sees them, because their headers may claim any
+ * number of items and msgpack allocates for all of them. The first fault is
+ * kept: reads after it give zero values. */
+struct GbReader {
+    const uint8_t *data;
+    size_t size_bytes;
+    size_t offset_bytes;
+    uint32_t items_left;
+    bool is_malformed;
+};
+
+void GbReader_Init(struct GbReader *self, const uint8_t *data,
+                   size_t size_bytes);
+
+/* Unsigned integer of at most max. */
+uint64_t GbReader_Uint(struct GbReader *self, uint64_t max);
+
+/* Byte string of at most max_bytes; it points into the input. */
+struct GbBytes GbReader_Bytes(struct GbReader *self, uint32_t max_bytes);
+
+/* As GbReader_Bytes, but nil is allowed and gives data NULL. */
+struct GbBytes GbReader_OptionalBytes(struct GbReader *self,
+                                      uint32_t max_bytes);
+
+/* Whether every item was read without fault and nothing follows. */
+bool GbReader_IsComplete(const struct GbReader *self);
+
+#endif
--- /dev/null
+++ b/src/state/address.h
@@ -0,0 +1,26 @@
+#ifndef GB_STATE_ADDRESS_H
+#define GB_STATE_ADDRESS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define GB_ADDRESS_TEXT_BYTES 24
+
+/* IPv4 address and port, both in host byte order. */
+struct GbAddress {
+    uint32_t ipv4;
+    uint16_t port;
+};
+
+/* Parses "a.b.c.d:port". Returns false and leaves self alone if the text is
+ * anything else. Port 0 is accepted: it asks for any free port. */
+bool GbAddress_Parse(struct GbAddress *self, const char *text);
+
+/* Writes "a.b.c.d:port" into buffer and returns buffer. */
+const char *GbAddress_Format(const struct GbAddress *self,
+                             char buffer[GB_ADDRESS_TEXT_BYTES]);
+
+bool GbAddress_Equal(const struct GbAddress *a, const struct GbAddress *b);
+
+#endif
--- /dev/null
+++ b/src/state/counters.c
@@ -0,0 +1,127 @@
+#include "state/counters.h"
+
+#include <assert.h>
+#include <string.h>
+
+struct CounterField {
+    const char *name;
+    const char *help;
+};
+
+static const struct CounterField counter_fields[GB_COUNTER_END] = {
+    [GB_COUNTER_DATAGRAMS_RECEIVED] = {"datagrams_received_total",
+                                       "Datagrams read from sockets."},
+    [GB_COUNTER_DATAGRAMS_SENT] = {"datagrams_sent_total",
+                                   "Datagrams written to sockets."},
+    [GB_COUNTER_DATAGRAMS_MALFORMED] = {"datagrams_malformed_total",
+                                        "Datagrams that did not decode."},
+    [GB_COUNTER_DATAGRAMS_UNEXPECTED] =
+        {"datagrams_unexpected_total",
+         "Decoded datagrams of a kind that this process does not take."},
+    [GB_COUNTER_SEND_FAILURES] = {"send_failures_total",
+                                  "Datagrams that the system refused to "
+                                  "send."},
+    [GB_COUNTER_TOKENS_FORGED] = {"tokens_forged_total",
+                                  "Tokens with a wrong keyed hash."},
+    [GB_COUNTER_PATHS_FORGED] = {"paths_forged_total",
+                                 "Return paths with a wrong keyed hash."},
+    [GB_COUNTER_FORWARDED_BOUND] = {"forwarded_bound_total",
+                                    "Datagrams forwarded by their token."},
+    [GB_COUNTER_FORWARDED_UNBOUND] = {"forwarded_unbound_total",
+                                      "Datagrams forwarded by rank."},
+    [GB_COUNTER_RETURNED] = {"returned_total",
+                             "Answers passed back to callers."},
+    [GB_COUNTER_NO_INSTANCE] = {"no_instance_total",
+                                "Unbound datagrams of a service without live "
+                                "instance."},
+    [GB_COUNTER_INSTANCES_SUSPECTED] = {"instances_suspected_total",
+                                        "Times an instance became suspect."},
+    [GB_COUNTER_WRONG_SERVICE] = {"wrong_service_total",
+                                  "Datagrams for another service, dropped."},
+    [GB_COUNTER_WRONG_INSTANCE] =
+        {"wrong_instance_total",
+         "Datagrams whose token names another instance, dropped."},
+    [GB_COUNTER_REQUESTS_ADMITTED] = {"requests_admitted_total",
+                                      "Requests queued or started."},
+    [GB_COUNTER_REQUESTS_STARTED] = {"requests_started_total",
+                                     "Requests sent to the target."},
+    [GB_COUNTER_REQUESTS_FINISHED] = {"requests_finished_total",
+                                      "Requests with a whole answer."},
+    [GB_COUNTER_REQUESTS_FAILED] = {"requests_failed_total",
+                                    "Started requests without a whole "
+                                    "answer."},
+    [GB_COUNTER_REQUESTS_NOT_RUN] = {"requests_not_run_total",
+                                     "Requests answered NOT_RUN."},
+    [GB_COUNTER_REQUESTS_REPEATED] =
+        {"requests_repeated_total",
+         "Repeated CALLs answered from the request's record."},
+    [GB_COUNTER_FLOWS_REFUSED] = {"flows_refused_total",
+                                  "Flows refused by the limit on flows or on "
+                                  "rate."},
+    [GB_COUNTER_QUEUE_REFUSED] = {"queue_refused_total",
+                                  "Requests refused by a full queue."},
+    [GB_COUNTER_DEADLINE_REFUSED] = {"deadline_refused_total",
+                                     "Requests refused because their "
+                                     "deadline could not be met."},
+    [GB_COUNTER_DRAIN_REFUSED] = {"drain_refused_total",
+                                  "Requests refused by a leaving target."},
+    [GB_COUNTER_FETCHES_DROPPED] = {"fetches_dropped_total",
+                                    "FETCHes beyond the waiting limit."},
+    [GB_COUNTER_HANDOVERS_SENT] = {"handovers_sent_total",
+                                   "CALLs handed to another agent."},
+    [GB_COUNTER_HANDOVERS_RECEIVED] = {"handovers_received_total",
+                                       "CALLs taken from another agent."},
+    [GB_COUNTER_LOAD_ASKS] = {"load_asks_total",
+                              "Questions for load sent to pool members."},
+    [GB_COUNTER_MAILBOX_DROPPED] = {"mailbox_dropped_total",
+                                    "Messages refused by a full mailbox."},
+    [GB_COUNTER_PLATFORM_CALLS] = {"platform_calls_total",
+                                   "Calls to the platform."},
+    [GB_COUNTER_PLATFORM_FAILURES] = {"platform_failures_total",
+                                      "Calls to the platform that failed."},
+    [GB_COUNTER_DOCUMENTS_ACCEPTED] = {"documents_accepted_total",
+                                       "Documents accepted."},
+    [GB_COUNTER_DOCUMENTS_REFUSED] = {"documents_refused_total",
+                                      "Documents refused by a check or as "
+                                      "older."},
+    [GB_COUNTER_DOCUMENT_CONFLICTS] =
+        {"document_conflicts_total",
+         "Documents that share a revision with another one."},
+    [GB_COUNTER_PEER_PULLS] = {"peer_pulls_total",
+                               "Documents asked of other processes."},
+};
+
+void
+GbCounters_Init(struct GbCounters *self)
+{
+    memset(self, 0, sizeof(*self));
+}
+
+void
+GbCounters_Add(struct GbCounters *self, enum GbCounterId id, uint64_t amount)
+{
+    assert(id < GB_COUNTER_END);
+    self->values[id] += amount;
+}
+
+void
+GbCounters_Merge(struct GbCounters *self, const struct GbCounters *other)
+{
+    for (int i = 0; i < GB_COUNTER_END; i++) {
+        self->values[i] += other->values[i];
+    }
+}
+
+const char *
+GbCounters_Name(enum GbCounterId id)
+{
+    assert(id < GB_COUNTER_END);
+    return counter_fields[id].name;
+}
+
+const char *
+GbCounters_Help(enum GbCounterId id)
+{
+    assert(id < GB_COUNTER_END);
+    return counter_fields[id].help;
+}
--- /dev/null
+++ b/src/state/document.c
@@ -0,0 +1,106 @@
+#include "state/document.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct GbDocument *
+GbDocument_New(void)
+{
+    struct GbDocument *self = g_new0(struct GbDocument, 1);
+
+    self->reference_count = 1;
+    return self;
+}
+
+struct GbDocument *
+GbDocument_Ref(struct GbDocument *self)
+{
+    g_atomic_int_inc(&self->reference_count);
+    return self;
+}
+
+void
+GbDocument_Unref(struct GbDocument *self)
+{
+    if (self == NULL || !g_atomic_int_dec_and_test(&self->reference_count)) {
+        return;
+    }
+    for (uint32_t i = 0; i < self->service_count; i++) {
+        g_free(self->services[i].operations);
+    }
+    g_free(self->services);
+    g_free(self->bytes);
+    g_free(self);
+}
+
+const struct GbService *
+GbDocument_Service(const struct GbDocument *self, uint32_t service_id)
+{
+    for (uint32_t i = 0; i < self->service_count; i++) {
+        if (self->services[i].id == service_id) {
+            return &self->services[i];
+        }
+    }
+    return NULL;
+}
+
+const struct GbService *
+GbDocument_ServiceByName(const struct GbDocument *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->service_count; i++) {
+        if (strcmp(self->services[i].name, name) == 0) {
+            return &self->services[i];
+        }
+    }
+    return NULL;
+}
+
+const struct GbOperation *
+GbService_Operation(const struct GbService *self, uint16_t operation_id)
+{
+    for (uint32_t i = 0; i < self->operation_count; i++) {
+        if (self->operations[i].id == operation_id) {
+            return &self->operations[i];
+        }
+    }
+    return NULL;
+}
+
+const struct GbOperation *
+GbService_OperationByName(const struct GbService *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->operation_count; i++) {
+        if (strcmp(self->operations[i].name, name) == 0) {
+            return &self->operations[i];
+        }
+    }
+    return NULL;
+}
+
+int
+GbDocument_Compare(const struct GbDocument *a, const struct GbDocument *b)
+{
+    if (a == NULL || b == NULL) {
+        return (a != NULL) - (b != NULL);
+    }
+    if (a->revision != b->revision) {
+        return a->revision < b->revision ? -1 : 1;
+    }
+    return memcmp(a->digest, b->digest, GB_DIGEST_BYTES);
+}
+
+struct GbRevision
+GbDocument_Revision(const struct GbDocument *self)
+{
+    struct GbRevision revision = {0, 0};
+
+    if (self != NULL) {
+        revision.number = self->revision;
+        /* Big-endian, so that prefixes compare as digests do. */
+        revision.digest_prefix = (uint32_t)self->digest[0] << 24 |
+                                 (uint32_t)self->digest[1] << 16 |
+                                 (uint32_t)self->digest[2] << 8 |
+                                 (uint32_t)self->digest[3];
+    }
+    return revision;
+}
--- /dev/null
+++ b/src/state/instance_list.h
@@ -0,0 +1,51 @@
+#ifndef GB_STATE_INSTANCE_LIST_H
+#define GB_STATE_INSTANCE_LIST_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/document.h"
+
+#define GB_INSTANCES_MAX 16384
+
+enum GbRole { GB_ROLE_BALANCER, GB_ROLE_AGENT };
+
+struct GbInstance {
+    char name[GB_NAME_BYTES];
+    /* XXH64 of the name. */
+    uint64_t id;
+    enum GbRole role;
+    /* Name of the service of an agent's target; empty for a balancer. */
+    char service[GB_NAME_BYTES];
+    char data_centre[GB_NAME_BYTES];
+    struct GbAddress address;
+    uint32_t weight;
+    bool is_leaving;
+};
+
+/* Instance list of the platform, decoded. Immutable once published; shared
+ * between tasks by reference count. It lags: it names candidates and proves
+ * nothing. */
+struct GbInstanceList {
+    int32_t reference_count;
+    uint64_t version;
+    struct GbInstance *instances;
+    uint32_t count;
+};
+
+/* Id of the instance with this name. */
+uint64_t GbInstance_IdOfName(const char *name);
+
+/* Allocates an empty list with one reference. */
+struct GbInstanceList *GbInstanceList_New(void);
+
+struct GbInstanceList *GbInstanceList_Ref(struct GbInstanceList *self);
+
+/* Drops a reference; the last one frees the list. self may be NULL. */
+void GbInstanceList_Unref(struct GbInstanceList *self);
+
+/* Instance by id; NULL if there is none. */
+const struct GbInstance *
+GbInstanceList_Find(const struct GbInstanceList *self, uint64_t instance_id);
+
+#endif
--- /dev/null
+++ b/src/state/last_message.c
@@ -0,0 +1,18 @@
+#include "state/last_message.h"
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+void
+GbLastMessage_Set(struct GbLastMessage *self, const char *format, ...)
+{
+    va_list arguments;
+
+    if (self == NULL) {
+        return;
+    }
+    va_start(arguments, format);
+    vsnprintf(self->text, sizeof(self->text), format, arguments);
+    va_end(arguments);
+}
