Add the decisions of balancer, agent and caller

Cause: the path needs its decisions, apart from sockets, so that scenarios can drive the same code.

Change: weighted rendezvous placement, suspicion, slots and admission, the agent's flows and deliveries, the caller's submissions and fetch window, the modules that connect them with encoded datagrams, document parsing.

--- /dev/null
+++ b/src/coordination/admission.h
@@ -0,0 +1,18 @@
+#ifndef GB_COORDINATION_ADMISSION_H
+#define GB_COORDINATION_ADMISSION_H
+
+#include "coordination/agent.h"
+
+/* Handles a CALL: repeats what became of it, binds its flow, or admits or
+ * refuses it. */
+void GbAdmission_Call(struct GbAgent *agent, const struct GbPath *path,
+                      const struct GbMessage *message);
+
+/* Finds the flow of a message that carries a token of this agent. Without a
+ * record it makes one if the token may still be used for the first time and
+ * may_add is set. Returns NULL after replying UNKNOWN. */
+struct GbFlow *GbAdmission_Flow(struct GbAgent *agent,
+                                const struct GbPath *path,
+                                const struct GbMessage *message, bool may_add);
+
+#endif
--- /dev/null
+++ b/src/coordination/agent_port.h
@@ -0,0 +1,47 @@
+#ifndef GB_COORDINATION_AGENT_PORT_H
+#define GB_COORDINATION_AGENT_PORT_H
+
+#include <stdint.h>
+
+#include "state/message.h"
+
+struct GbAgentPort;
+
+/* Work given to the target. */
+struct GbTargetCall {
+    /* Names the work in everything that follows. */
+    uint64_t work_id;
+    uint64_t flow_id;
+    uint32_t request_id;
+    const char *operation_name;
+    /* Time until the deadline. */
+    int64_t timeout_us;
+    struct GbBytes body;
+    /* Bytes of the answer that may be passed on before GbAgentPort allows
+     * more. */
+    uint32_t room_bytes;
+};
+
+/* What an agent's decisions cause. */
+struct GbAgentPortClass {
+    /* Sends a reply to a caller. */
+    void (*reply)(struct GbAgentPort *self, const struct GbPath *path,
+                  const struct GbMessage *message);
+    /* Sends a message to another agent of the pool. */
+    void (*send_member)(struct GbAgentPort *self, const struct GbAddress *to,
+                        const struct GbMessage *message);
+    /* Starts work at the target. It ends with GbAgent_TargetEnded. */
+    void (*start)(struct GbAgentPort *self, const struct GbTargetCall *call);
+    /* Stops work by closing its connection. No GbAgent_TargetEnded follows
+     * that counts. */
+    void (*cancel)(struct GbAgentPort *self, uint64_t work_id);
+    /* Lets the target send further bytes of its answer. */
+    void (*allow)(struct GbAgentPort *self, uint64_t work_id,
+                  uint32_t size_bytes);
+};
+
+struct GbAgentPort {
+    const struct GbAgentPortClass *klass;
+};
+
+#endif
--- /dev/null
+++ b/src/coordination/balancer.c
@@ -0,0 +1,107 @@
+#include "coordination/balancer.h"
+
+#include <string.h>
+
+/* Leaves out instances that are suspect at one point in time. */
+struct SuspectFilter {
+    struct GbInstanceFilter super;
+    const struct GbSuspicion *suspicion;
+    int64_t now_us;
+};
+
+static bool
+is_suspect(const struct GbInstanceFilter *filter,
+           const struct GbInstance *instance)
+{
+    const struct SuspectFilter *self = (const struct SuspectFilter *)filter;
+
+    return GbSuspicion_IsSuspect(self->suspicion, instance->id, self->now_us);
+}
+
+static enum GbCoordinationStatus
+route_unbound(struct GbBalancer *self, const struct GbMessage *message,
+              struct GbAddress *agent)
+{
+    struct SuspectFilter filter = {{is_suspect}, &self->suspicion, 0};
+    const struct GbCandidates *candidates = NULL;
+    const struct GbInstance *instance = NULL;
+
+    if (self->view != NULL) {
+        candidates = GbView_Candidates(self->view, message->service_id);
+    }
+    if (candidates != NULL) {
+        filter.now_us = GbClock_MonotonicUs(self->clock);
+        instance = GbPlacement_Rank(candidates, message->flow_id,
+                                    message->attempt, &filter.super);
+        if (instance == NULL) {
+            instance = GbPlacement_Rank(candidates, message->flow_id,
+                                        message->attempt, NULL);
+        }
+    }
+    if (instance == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_NO_INSTANCE, 1);
+        return GB_COORDINATION_NO_INSTANCE;
+    }
+    if (GbSuspicion_Sent(&self->suspicion, instance->id, filter.now_us)) {
+        GbCounters_Add(self->counters, GB_COUNTER_INSTANCES_SUSPECTED, 1);
+    }
+    GbCounters_Add(self->counters, GB_COUNTER_FORWARDED_UNBOUND, 1);
+    *agent = instance->address;
+    return GB_COORDINATION_OK;
+}
+
+void
+GbBalancer_Init(struct GbBalancer *self, struct GbClock *clock,
+                struct GbCounters *counters)
+{
+    memset(self, 0, sizeof(*self));
+    self->clock = clock;
+    self->counters = counters;
+    GbSuspicion_Init(&self->suspicion);
+}
+
+void
+GbBalancer_Finish(struct GbBalancer *self)
+{
+    GbSuspicion_Finish(&self->suspicion);
+    GbView_Unref(self->view);
+}
+
+void
+GbBalancer_SetView(struct GbBalancer *self, struct GbView *view)
+{
+    GbView_Unref(self->view);
+    self->view = view;
+}
+
+enum GbCoordinationStatus
+GbBalancer_Route(struct GbBalancer *self, const struct GbMessage *message,
+                 struct GbAddress *agent)
+{
+    if (!GbMessage_IsFromCaller(message->kind)) {
+        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+        return GB_COORDINATION_UNEXPECTED;
+    }
+    if (message->has_token) {
+        /* Pool members prove themselves with tokens of flow 0. */
+        if (message->token.flow_id == 0 ||
+            message->token.service_id != message->service_id) {
+            GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+            return GB_COORDINATION_UNEXPECTED;
+        }
+        GbCounters_Add(self->counters, GB_COUNTER_FORWARDED_BOUND, 1);
+        *agent = message->token.agent;
+        return GB_COORDINATION_OK;
+    }
+    if (message->kind != GB_MESSAGE_CALL) {
+        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+        return GB_COORDINATION_UNEXPECTED;
+    }
+    return route_unbound(self, message, agent);
+}
+
+void
+GbBalancer_Heard(struct GbBalancer *self, uint64_t instance_id)
+{
+    GbSuspicion_Heard(&self->suspicion, instance_id);
+}
--- /dev/null
+++ b/src/coordination/balancer.h
@@ -0,0 +1,41 @@
+#ifndef GB_COORDINATION_BALANCER_H
+#define GB_COORDINATION_BALANCER_H
+
+#include "coordination/placement.h"
+#include "coordination/status.h"
+#include "coordination/suspicion.h"
+#include "state/clock.h"
+#include "state/counters.h"
+#include "state/message.h"
+#include "state/view.h"
+
+/* Decisions of one balancer data task. It holds no state for flows. */
+struct GbBalancer {
+    struct GbClock *clock;
+    struct GbCounters *counters;
+    struct GbView *view;
+    struct GbSuspicion suspicion;
+};
+
+/* clock and counters must outlive self. */
+void GbBalancer_Init(struct GbBalancer *self, struct GbClock *clock,
+                     struct GbCounters *counters);
+
+void GbBalancer_Finish(struct GbBalancer *self);
+
+/* Takes over the caller's reference of view. */
+void GbBalancer_SetView(struct GbBalancer *self, struct GbView *view);
+
+/* Chooses the agent that a caller's message goes to: the one that its token
+ * names, or by rank for an unbound CALL.
+ *
+ * Errors: GB_COORDINATION_UNEXPECTED if callers may not send the message,
+ * GB_COORDINATION_NO_INSTANCE if the service has no live instance. */
+enum GbCoordinationStatus GbBalancer_Route(struct GbBalancer *self,
+                                           const struct GbMessage *message,
+                                           struct GbAddress *agent);
+
+/* The agent of this instance has sent something. */
+void GbBalancer_Heard(struct GbBalancer *self, uint64_t instance_id);
+
+#endif
--- /dev/null
+++ b/src/coordination/fetch_window.c
@@ -0,0 +1,174 @@
+#include "coordination/fetch_window.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define LIMIT_START 4
+
+static struct GbFetch *
+find(struct GbFetchWindow *self, uint64_t offset)
+{
+    for (uint32_t i = 0; i < self->count; i++) {
+        if (self->fetches[i].offset == offset) {
+            return &self->fetches[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+remove_fetch(struct GbFetchWindow *self, struct GbFetch *fetch)
+{
+    *fetch = self->fetches[--self->count];
+}
+
+static void
+remove_beyond_total(struct GbFetchWindow *self)
+{
+    uint32_t i = 0;
+
+    while (i < self->count) {
+        if (self->fetches[i].offset >= self->total) {
+            remove_fetch(self, &self->fetches[i]);
+        }
+        else {
+            i++;
+        }
+    }
+    self->next_offset = MIN(self->next_offset, self->total);
+}
+
+static void
+store(struct GbFetchWindow *self, uint64_t offset, struct GbBytes bytes)
+{
+    uint64_t end = offset + bytes.size_bytes;
+
+    if (self->bytes->len < end) {
+        g_byte_array_set_size(self->bytes, (guint)end);
+    }
+    if (bytes.size_bytes > 0) {
+        memcpy(self->bytes->data + offset, bytes.data, bytes.size_bytes);
+    }
+}
+
+void
+GbFetchWindow_Init(struct GbFetchWindow *self, uint64_t max_bytes,
+                   int64_t repeat_us)
+{
+    memset(self, 0, sizeof(*self));
+    self->bytes = g_byte_array_new();
+    self->max_bytes = MIN(max_bytes, G_MAXUINT32);
+    self->total = GB_TOTAL_UNKNOWN;
+    self->limit = LIMIT_START;
+    GbFetchWindow_Next(self)->repeat_us = repeat_us;
+}
+
+void
+GbFetchWindow_Finish(struct GbFetchWindow *self)
+{
+    if (self->bytes != NULL) {
+        g_byte_array_free(self->bytes, TRUE);
+        self->bytes = NULL;
+    }
+}
+
+bool
+GbFetchWindow_Take(struct GbFetchWindow *self, const struct GbDataFields *data)
+{
+    struct GbFetch *fetch = find(self, data->offset);
+    uint64_t end = data->offset + data->bytes.size_bytes;
+
+    if (fetch == NULL || data->bytes.size_bytes > fetch->length_bytes ||
+        end > self->max_bytes || end > data->total) {
+        return false;
+    }
+    if (data->total != GB_TOTAL_UNKNOWN && data->total <= self->max_bytes) {
+        self->total = data->total;
+        self->digest = data->digest;
+    }
+    store(self, data->offset, data->bytes);
+    if (data->bytes.size_bytes == fetch->length_bytes || end == self->total) {
+        remove_fetch(self, fetch);
+    }
+    else {
+        /* The target had not sent all of the range yet. */
+        fetch->offset = end;
+        fetch->length_bytes -= data->bytes.size_bytes;
+        fetch->tries = 0;
+        fetch->repeat_us = 0;
+    }
+    remove_beyond_total(self);
+    self->limit = MIN(self->limit + 1, GB_FETCHES_MAX);
+    return true;
+}
+
+struct GbFetch *
+GbFetchWindow_Next(struct GbFetchWindow *self)
+{
+    struct GbFetch *fetch;
+
+    if (self->count >= self->limit || self->next_offset >= self->total ||
+        self->next_offset >= self->max_bytes) {
+        return NULL;
+    }
+    fetch = &self->fetches[self->count++];
+    fetch->offset = self->next_offset;
+    fetch->length_bytes = GB_RANGE_BYTES;
+    fetch->tries = 0;
+    fetch->repeat_us = 0;
+    self->next_offset += GB_RANGE_BYTES;
+    return fetch;
+}
+
+struct GbFetch *
+GbFetchWindow_Due(struct GbFetchWindow *self, int64_t now_us)
+{
+    for (uint32_t i = 0; i < self->count; i++) {
+        if (self->fetches[i].repeat_us <= now_us) {
+            return &self->fetches[i];
+        }
+    }
+    return NULL;
+}
+
+void
+GbFetchWindow_Shrink(struct GbFetchWindow *self)
+{
+    self->limit = MAX(self->limit / 2, LIMIT_START);
+}
+
+uint64_t
+GbFetchWindow_Acknowledged(const struct GbFetchWindow *self)
+{
+    uint64_t lowest = self->next_offset;
+
+    for (uint32_t i = 0; i < self->count; i++) {
+        lowest = MIN(lowest, self->fetches[i].offset);
+    }
+    return lowest;
+}
+
+int64_t
+GbFetchWindow_NextTimerUs(const struct GbFetchWindow *self)
+{
+    int64_t next_us = GB_TIMER_NEVER;
+
+    for (uint32_t i = 0; i < self->count; i++) {
+        next_us = MIN(next_us, self->fetches[i].repeat_us);
+    }
+    return next_us;
+}
+
+bool
+GbFetchWindow_IsComplete(const struct GbFetchWindow *self)
+{
+    return self->total != GB_TOTAL_UNKNOWN && self->count == 0 &&
+           self->next_offset >= self->total;
+}
+
+bool
+GbFetchWindow_IsGenuine(const struct GbFetchWindow *self)
+{
+    return self->bytes->len == self->total &&
+           XXH64(self->bytes->data, self->bytes->len, 0) == self->digest;
+}
--- /dev/null
+++ b/src/coordination/suspicion.c
@@ -0,0 +1,91 @@
+#include "coordination/suspicion.h"
+
+/* Fewer CALLs without an answer may be lost datagrams. */
+#define SILENT_CALLS_MIN 3
+/* Longer than a round trip and a hand-over between data centres. */
+#define SILENCE_US INT64_C(300000)
+#define PERIOD_START_US INT64_C(2000000)
+#define PERIOD_MAX_US INT64_C(16000000)
+
+struct Entry {
+    uint64_t instance_id;
+    uint32_t unanswered;
+    int64_t first_unanswered_us;
+    int64_t suspect_until_us;
+    int64_t period_us;
+};
+
+static struct Entry *
+find(const struct GbSuspicion *self, uint64_t instance_id)
+{
+    return g_hash_table_lookup(self->by_instance, &instance_id);
+}
+
+static struct Entry *
+find_or_add(struct GbSuspicion *self, uint64_t instance_id)
+{
+    struct Entry *entry = find(self, instance_id);
+
+    if (entry == NULL) {
+        entry = g_new0(struct Entry, 1);
+        entry->instance_id = instance_id;
+        entry->period_us = PERIOD_START_US;
+        g_hash_table_insert(self->by_instance, &entry->instance_id, entry);
+    }
+    return entry;
+}
+
+void
+GbSuspicion_Init(struct GbSuspicion *self)
+{
+    self->by_instance =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+void
+GbSuspicion_Finish(struct GbSuspicion *self)
+{
+    g_hash_table_destroy(self->by_instance);
+    self->by_instance = NULL;
+}
+
+bool
+GbSuspicion_Sent(struct GbSuspicion *self, uint64_t instance_id,
+                 int64_t now_us)
+{
+    struct Entry *entry = find_or_add(self, instance_id);
+
+    if (entry->unanswered++ == 0) {
+        entry->first_unanswered_us = now_us;
+    }
+    if (now_us < entry->suspect_until_us ||
+        entry->unanswered < SILENT_CALLS_MIN ||
+        now_us - entry->first_unanswered_us < SILENCE_US) {
+        return false;
+    }
+    entry->suspect_until_us = now_us + entry->period_us;
+    entry->period_us = MIN(2 * entry->period_us, PERIOD_MAX_US);
+    entry->unanswered = 0;
+    return true;
+}
+
+void
+GbSuspicion_Heard(struct GbSuspicion *self, uint64_t instance_id)
+{
+    struct Entry *entry = find(self, instance_id);
+
+    if (entry != NULL) {
+        entry->unanswered = 0;
+        entry->suspect_until_us = 0;
+        entry->period_us = PERIOD_START_US;
+    }
+}
+
+bool
+GbSuspicion_IsSuspect(const struct GbSuspicion *self, uint64_t instance_id,
+                      int64_t now_us)
+{
+    const struct Entry *entry = find(self, instance_id);
+
+    return entry != NULL && now_us < entry->suspect_until_us;
+}
--- /dev/null
+++ b/src/coordination/suspicion.h
@@ -0,0 +1,29 @@
+#ifndef GB_COORDINATION_SUSPICION_H
+#define GB_COORDINATION_SUSPICION_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What a balancer task has seen itself of each instance: which ones take
+ * datagrams and stay silent. One entry an instance, none a flow. */
+struct GbSuspicion {
+    GHashTable *by_instance;
+};
+
+void GbSuspicion_Init(struct GbSuspicion *self);
+
+void GbSuspicion_Finish(struct GbSuspicion *self);
+
+/* An unbound CALL goes to the instance. Returns true if this makes the
+ * instance suspect. */
+bool GbSuspicion_Sent(struct GbSuspicion *self, uint64_t instance_id,
+                      int64_t now_us);
+
+/* The instance has answered: it is not suspect. */
+void GbSuspicion_Heard(struct GbSuspicion *self, uint64_t instance_id);
+
+bool GbSuspicion_IsSuspect(const struct GbSuspicion *self,
+                           uint64_t instance_id, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/protocol/exposition.h
@@ -0,0 +1,16 @@
+#ifndef GB_PROTOCOL_EXPOSITION_H
+#define GB_PROTOCOL_EXPOSITION_H
+
+#include <glib.h>
+
+#include "state/counters.h"
+
+/* Appends all counters in the text exposition format, with the prefix
+ * "guavabend_". */
+void GbExposition_Counters(GString *text, const struct GbCounters *counters);
+
+/* Appends one gauge. */
+void GbExposition_Gauge(GString *text, const char *name, const char *help,
+                        int64_t value);
+
+#endif
--- /dev/null
+++ b/src/protocol/refusal.c
@@ -0,0 +1,17 @@
+#include "protocol/refusal.h"
+
+void
+GbRefusal_Count(struct GbCounters *counters, enum GbProtocolStatus status)
+{
+    switch (status) {
+    case GB_PROTOCOL_FORGED_TOKEN:
+        GbCounters_Add(counters, GB_COUNTER_TOKENS_FORGED, 1);
+        break;
+    case GB_PROTOCOL_FORGED_PATH:
+        GbCounters_Add(counters, GB_COUNTER_PATHS_FORGED, 1);
+        break;
+    default:
+        GbCounters_Add(counters, GB_COUNTER_DATAGRAMS_MALFORMED, 1);
+        break;
+    }
+}
