Run the path end to end as separate processes

Cause: the first version of the path, caller to target through balancer and agent, with stand-ins for platform and target.

Change: tasks with mailboxes, batched UDP, HTTP clients and server, settings from one table, logs, the programs guavabend-balancer, guavabend-agent and guavabend call.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	git ls-files '*.c' '*.h' | xargs clang-format --dry-run -Werror
 
 lint: build layers
-	git ls-files '*.c' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
+	git ls-files '*.c' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
 
 layers:
 	tools/check-layers.sh
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -65,7 +65,8 @@
     agent->request_count++;
     request->path = *path;
     request->admitted_us = now_us;
-    request->deadline_us = now_us + (int64_t)operation->deadline_ms * US_PER_MS;
+    request->deadline_us =
+        now_us + (int64_t)operation->deadline_ms * US_PER_MS;
     GbCounters_Add(agent->counters, GB_COUNTER_REQUESTS_ADMITTED, 1);
     GbTimerQueue_Set(&agent->timers, &request->timer, request->deadline_us);
     GbReply_Progress(agent, request);
--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -24,8 +24,7 @@
         return false;
     }
     if (message->token.instance_id != self->config.instance_id ||
-        message->token.flow_id != message->flow_id ||
-        message->flow_id == 0) {
+        message->token.flow_id != message->flow_id || message->flow_id == 0) {
         GbCounters_Add(self->counters, GB_COUNTER_WRONG_INSTANCE, 1);
         return false;
     }
--- a/src/coordination/caller.c
+++ b/src/coordination/caller.c
@@ -28,8 +28,7 @@
 static int64_t
 backoff_us(struct GbCaller *self, uint32_t repeats)
 {
-    int64_t delay_us =
-        MIN(REPEAT_START_US << MIN(repeats, 4U), REPEAT_MAX_US);
+    int64_t delay_us = MIN(REPEAT_START_US << MIN(repeats, 4U), REPEAT_MAX_US);
 
     return delay_us - (int64_t)GbRandom_Below(
                           self->random, (uint32_t)delay_us / JITTER_DIVISOR);
--- a/src/coordination/delivery.c
+++ b/src/coordination/delivery.c
@@ -67,9 +67,9 @@
     int64_t at_us = request->deadline_us;
 
     if (request->work_class == GB_CLASS_SHORT && agent->service != NULL) {
-        at_us = MIN(at_us, request->started_us +
-                               (int64_t)agent->service->long_after_ms *
-                                   US_PER_MS);
+        at_us =
+            MIN(at_us, request->started_us +
+                           (int64_t)agent->service->long_after_ms * US_PER_MS);
     }
     set_timer(agent, request, at_us);
 }
@@ -160,8 +160,8 @@
     GbCounters_Add(agent->counters, GB_COUNTER_REQUESTS_REPEATED, 1);
     if (request->state == GB_REQUEST_ANSWERING ||
         request->state == GB_REQUEST_FINISHED) {
-        if (GbReply_Data(agent, request, &request->path,
-                         request->answer.begin, GB_RANGE_BYTES)) {
+        if (GbReply_Data(agent, request, &request->path, request->answer.begin,
+                         GB_RANGE_BYTES)) {
             return;
         }
     }
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -20,9 +20,8 @@
 score_of(const struct GbInstance *instance, uint64_t flow_id)
 {
     uint64_t hash = XXH64(&flow_id, sizeof(flow_id), instance->id);
-    double uniform =
-        ((double)(hash >> (64 - MANTISSA_BITS)) + 0.5) /
-        (double)(UINT64_C(1) << MANTISSA_BITS);
+    double uniform = ((double)(hash >> (64 - MANTISSA_BITS)) + 0.5) /
+                     (double)(UINT64_C(1) << MANTISSA_BITS);
 
     return -(double)instance->weight / log(uniform);
 }
--- a/src/coordination/slots.h
+++ b/src/coordination/slots.h
@@ -20,8 +20,7 @@
     GQueue queues[GB_CLASS_END];
 };
 
-void GbSlots_Init(struct GbSlots *self, uint32_t usable,
-                  uint32_t queue_limit);
+void GbSlots_Init(struct GbSlots *self, uint32_t usable, uint32_t queue_limit);
 
 uint32_t GbSlots_Running(const struct GbSlots *self);
 
--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -118,8 +118,8 @@
 static void
 decode_unknown(struct GbReader *reader, struct GbMessage *message)
 {
-    message->unknown = (enum GbUnknownReason)GbReader_Uint(
-        reader, GB_UNKNOWN_REASON_END - 1);
+    message->unknown =
+        (enum GbUnknownReason)GbReader_Uint(reader, GB_UNKNOWN_REASON_END - 1);
 }
 
 static void
--- a/src/protocol/document_json.h
+++ b/src/protocol/document_json.h
@@ -27,8 +27,9 @@
  * left out.
  *
  * Errors: GB_PROTOCOL_INVALID_DOCUMENT if the whole is not a list. */
-enum GbProtocolStatus GbDocumentJson_ParseInstances(
-    struct GbInstanceList **list, const uint8_t *data, size_t size_bytes,
-    struct GbLastMessage *last);
+enum GbProtocolStatus
+GbDocumentJson_ParseInstances(struct GbInstanceList **list,
+                              const uint8_t *data, size_t size_bytes,
+                              struct GbLastMessage *last);
 
 #endif
--- a/src/protocol/envelope.c
+++ b/src/protocol/envelope.c
@@ -27,9 +27,8 @@
     GbWriter_Init(&writer, buffer, GB_ENVELOPE_HEADER_BYTES);
     GbWriter_PutArray(&writer, ENVELOPE_ITEMS);
     GbWriter_PutUint(&writer, self->kind);
-    GbWriter_PutUint(&writer,
-                     (uint64_t)self->path.caller.ipv4 << IPV4_SHIFT |
-                         self->path.caller.port);
+    GbWriter_PutUint(&writer, (uint64_t)self->path.caller.ipv4 << IPV4_SHIFT |
+                                  self->path.caller.port);
     GbWriter_PutUint(&writer, self->path.tag);
     GbWriter_PutUint(&writer, self->instance_id);
     GbWriter_PutUint(&writer, self->revision.number);
--- a/src/protocol/envelope.h
+++ b/src/protocol/envelope.h
@@ -12,10 +12,7 @@
 #define GB_ENVELOPE_HEADER_BYTES 64
 
 /* First item of the encoding; apart from the values of GbMessageKind. */
-enum GbEnvelopeKind {
-    GB_ENVELOPE_TO_AGENT = 64,
-    GB_ENVELOPE_TO_BALANCER
-};
+enum GbEnvelopeKind { GB_ENVELOPE_TO_AGENT = 64, GB_ENVELOPE_TO_BALANCER };
 
 /* What a balancer and an agent wrap around a datagram of a caller. */
 struct GbEnvelope {
--- a/src/protocol/keys.h
+++ b/src/protocol/keys.h
@@ -44,7 +44,6 @@
 
 /* Whether either key made the tag of this frame. */
 bool GbKeys_IsFrameValid(const struct GbKeys *self, const uint8_t *data,
-                         size_t size_bytes,
-                         const uint8_t tag[GB_TAG_BYTES]);
+                         size_t size_bytes, const uint8_t tag[GB_TAG_BYTES]);
 
 #endif
--- a/src/protocol/writer.c
+++ b/src/protocol/writer.c
@@ -7,8 +7,8 @@
 {
     struct GbWriter *self = context;
 
-    if (self->is_full || size_bytes > self->capacity_bytes -
-                                          self->size_bytes) {
+    if (self->is_full ||
+        size_bytes > self->capacity_bytes - self->size_bytes) {
         self->is_full = true;
         return -1;
     }
--- a/src/state/counters.h
+++ b/src/state/counters.h
@@ -54,8 +54,7 @@
                     uint64_t amount);
 
 /* Adds every value of other to self. */
-void GbCounters_Merge(struct GbCounters *self,
-                      const struct GbCounters *other);
+void GbCounters_Merge(struct GbCounters *self, const struct GbCounters *other);
 
 /* Name in the text exposition, without prefix, such as
  * "datagrams_received_total". */
--- a/src/state/document.c
+++ b/src/state/document.c
@@ -97,10 +97,19 @@
     if (self != NULL) {
         revision.number = self->revision;
         /* Big-endian, so that prefixes compare as digests do. */
-        revision.digest_prefix = (uint32_t)self->digest[0] << 24 |
-                                 (uint32_t)self->digest[1] << 16 |
-                                 (uint32_t)self->digest[2] << 8 |
-                                 (uint32_t)self->digest[3];
+        revision.digest_prefix =
+            (uint32_t)self->digest[0] << 24 | (uint32_t)self->digest[1] << 16 |
+            (uint32_t)self->digest[2] << 8 | (uint32_t)self->digest[3];
     }
     return revision;
 }
+
+int
+GbRevision_Compare(const struct GbRevision *a, const struct GbRevision *b)
+{
+    if (a->number != b->number) {
+        return a->number < b->number ? -1 : 1;
+    }
+    return (a->digest_prefix > b->digest_prefix) -
+           (a->digest_prefix < b->digest_prefix);
+}
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -76,8 +76,8 @@
 /* Service by id or by name; NULL if there is none. */
 const struct GbService *GbDocument_Service(const struct GbDocument *self,
                                            uint32_t service_id);
-const struct GbService *
-GbDocument_ServiceByName(const struct GbDocument *self, const char *name);
+const struct GbService *GbDocument_ServiceByName(const struct GbDocument *self,
+                                                 const char *name);
 
 const struct GbOperation *GbService_Operation(const struct GbService *self,
                                               uint16_t operation_id);
@@ -91,4 +91,7 @@
 /* Revision and digest prefix as announced to peers; zero for NULL. */
 struct GbRevision GbDocument_Revision(const struct GbDocument *self);
 
+/* Order of revisions, as that of their documents. */
+int GbRevision_Compare(const struct GbRevision *a, const struct GbRevision *b);
+
 #endif
--- a/src/state/flow_table.c
+++ b/src/state/flow_table.c
@@ -43,8 +43,8 @@
 }
 
 struct GbFlow *
-GbFlowTable_Add(struct GbFlowTable *self, uint64_t flow_id,
-                uint64_t issued_ms, int64_t now_us)
+GbFlowTable_Add(struct GbFlowTable *self, uint64_t flow_id, uint64_t issued_ms,
+                int64_t now_us)
 {
     struct GbFlow *flow;
 
--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -45,7 +45,7 @@
 void GbInstanceList_Unref(struct GbInstanceList *self);
 
 /* Instance by id; NULL if there is none. */
-const struct GbInstance *
-GbInstanceList_Find(const struct GbInstanceList *self, uint64_t instance_id);
+const struct GbInstance *GbInstanceList_Find(const struct GbInstanceList *self,
+                                             uint64_t instance_id);
 
 #endif
--- a/src/state/view.c
+++ b/src/state/view.c
@@ -47,8 +47,8 @@
     for (uint32_t i = 0; i < document->service_count; i++) {
         collect_candidates(&self->candidates[i], &document->services[i], list);
     }
-    qsort(self->candidates, self->candidates_count,
-          sizeof(*self->candidates), compare_service_id);
+    qsort(self->candidates, self->candidates_count, sizeof(*self->candidates),
+          compare_service_id);
     return self;
 }
 
--- /dev/null
+++ b/src/transport/balancer_task.c
@@ -0,0 +1,121 @@
+#include "transport/balancer_task.h"
+
+#include <stddef.h>
+
+#include "transport/mails.h"
+
+#define MAILBOX_LIMIT 256
+#define REPORT_PERIOD_US INT64_C(1000000)
+
+#define OF_MEMBER(pointer, member)                                            \
+    ((struct GbBalancerTask *)((char *)(pointer)-offsetof(                    \
+        struct GbBalancerTask, member)))
+
+static void
+received(struct GbUdpListener *listener, const struct GbAddress *from,
+         const uint8_t *data, size_t size_bytes)
+{
+    struct GbBalancerTask *self = OF_MEMBER(listener, listener);
+
+    GbBalancerWire_Receive(&self->wire, from, data, size_bytes);
+}
+
+static void
+heard_revision(struct GbRevisionListener *listener,
+               const struct GbAddress *from,
+               const struct GbRevision *revision)
+{
+    struct GbBalancerTask *self = OF_MEMBER(listener, revisions);
+    const struct GbView *view = self->balancer.view;
+    struct GbRevision own =
+        GbDocument_Revision(view != NULL ? view->document : NULL);
+
+    if (GbRevision_Compare(revision, &own) > 0 &&
+        !GbTask_Offer(self->config.control,
+                      GbRevisionMail_New(from, revision))) {
+        GbCounters_Add(&self->counters, GB_COUNTER_MAILBOX_DROPPED, 1);
+    }
+}
+
+static const struct GbRevisionListenerClass listener_class = {
+    .heard = heard_revision,
+};
+
+static enum GbTransportStatus
+task_open(struct GbTask *task, struct GbLastMessage *last)
+{
+    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
+
+    return GbUdp_Open(&self->udp, &self->config.listen, true, task->base,
+                      &self->listener, &self->counters, last);
+}
+
+static void
+task_receive(struct GbTask *task, struct GbMail *mail)
+{
+    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
+
+    if (mail->klass == &GbViewMail_Class) {
+        GbBalancer_SetView(&self->balancer,
+                           GbView_Ref(((struct GbViewMail *)mail)->view));
+    }
+}
+
+static int64_t
+task_next_timer_us(struct GbTask *task)
+{
+    return ((struct GbBalancerTask *)task)->report_us;
+}
+
+static void
+task_tick(struct GbTask *task)
+{
+    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
+    struct GbCountersMail *mail =
+        GbCountersMail_New(self->config.index, &self->counters);
+
+    self->report_us = GbClock_MonotonicUs(task->clock) + REPORT_PERIOD_US;
+    GbTask_Offer(self->config.control, &mail->super);
+}
+
+static void
+task_flush(struct GbTask *task)
+{
+    GbUdp_Flush(&((struct GbBalancerTask *)task)->udp);
+}
+
+static void
+task_close(struct GbTask *task)
+{
+    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
+
+    GbUdp_Close(&self->udp);
+    GbBalancer_Finish(&self->balancer);
+}
+
+static const struct GbTaskClass GbBalancerTask_Class = {
+    .name = "data",
+    .open = task_open,
+    .receive = task_receive,
+    .next_timer_us = task_next_timer_us,
+    .tick = task_tick,
+    .flush = task_flush,
+    .close = task_close,
+};
+
+void
+GbBalancerTask_Init(struct GbBalancerTask *self,
+                    const struct GbBalancerTaskConfig *config,
+                    struct GbClock *clock)
+{
+    GbTask_Init(&self->super, &GbBalancerTask_Class, clock, MAILBOX_LIMIT);
+    self->listener.received = received;
+    self->revisions.klass = &listener_class;
+    self->config = *config;
+    self->udp.fd = -1;
+    self->report_us = GbClock_MonotonicUs(clock);
+    GbCounters_Init(&self->counters);
+    GbBalancer_Init(&self->balancer, clock, &self->counters);
+    GbBalancerWire_Init(&self->wire, &self->balancer, config->keys,
+                        &self->udp.super, &self->revisions, &self->counters);
+}
--- /dev/null
+++ b/src/transport/log.c
@@ -0,0 +1,99 @@
+#include "transport/log.h"
+
+#include <log4c.h>
+#include <log4c/appender_type_stream2.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define LINE_BYTES 1024
+#define TIME_BYTES 32
+#define US_PER_MS 1000
+
+static const int priorities[] = {
+    [GB_LOG_DEBUG] = LOG4C_PRIORITY_DEBUG,
+    [GB_LOG_INFO] = LOG4C_PRIORITY_INFO,
+    [GB_LOG_WARN] = LOG4C_PRIORITY_WARN,
+    [GB_LOG_ERROR] = LOG4C_PRIORITY_ERROR,
+};
+
+static const char *const level_names[] = {"debug", "info", "warn", "error"};
+
+static log4c_category_t *category;
+
+static const char *
+format_line(const log4c_layout_t *layout,
+            const log4c_logging_event_t *event)
+{
+    static _Thread_local char line[LINE_BYTES + 2 * TIME_BYTES];
+    char time_text[TIME_BYTES];
+    struct tm utc;
+
+    (void)layout;
+    gmtime_r(&event->evt_timestamp.tv_sec, &utc);
+    strftime(time_text, sizeof(time_text), "%Y-%m-%dT%H:%M:%S", &utc);
+    snprintf(line, sizeof(line), "time=%s.%03dZ level=%s program=%s %s\n",
+             time_text, (int)(event->evt_timestamp.tv_usec / US_PER_MS),
+             log4c_priority_to_string(event->evt_priority),
+             event->evt_category, event->evt_msg);
+    return line;
+}
+
+static const log4c_layout_type_t line_layout = {"guavabend_line",
+                                                format_line};
+
+bool
+GbLog_Init(const char *program, const char *level)
+{
+    size_t count = sizeof(level_names) / sizeof(level_names[0]);
+    log4c_layout_t *layout;
+    log4c_appender_t *appender;
+
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(level, level_names[i]) != 0) {
+            continue;
+        }
+        log4c_init();
+        log4c_layout_type_set(&line_layout);
+        layout = log4c_layout_get("guavabend_line");
+        log4c_layout_set_type(layout, &line_layout);
+        /* The type "stream" would put the appender's name before each
+         * line. */
+        appender = log4c_appender_get("guavabend_stderr");
+        log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
+        log4c_stream2_set_fp(appender, stderr);
+        log4c_appender_set_layout(appender, layout);
+        category = log4c_category_get(program);
+        log4c_category_set_appender(category, appender);
+        log4c_category_set_additivity(category, 0);
+        log4c_category_set_priority(category, priorities[i]);
+        return true;
+    }
+    return false;
+}
+
+void
+GbLog_Finish(void)
+{
+    category = NULL;
+    log4c_fini();
+}
+
+void
+GbLog_Event(enum GbLogLevel level, const char *event, const char *format, ...)
+{
+    char line[LINE_BYTES];
+    int used;
+    va_list arguments;
+
+    if (category == NULL ||
+        !log4c_category_is_priority_enabled(category, priorities[level])) {
+        return;
+    }
+    used = snprintf(line, sizeof(line), "event=%s ", event);
+    va_start(arguments, format);
+    vsnprintf(line + used, sizeof(line) - (size_t)used, format, arguments);
+    va_end(arguments);
+    log4c_category_log(category, priorities[level], "%s", line);
+}
--- /dev/null
+++ b/src/transport/log.h
@@ -0,0 +1,19 @@
+#ifndef GB_TRANSPORT_LOG_H
+#define GB_TRANSPORT_LOG_H
+
+#include <stdbool.h>
+
+enum GbLogLevel { GB_LOG_DEBUG, GB_LOG_INFO, GB_LOG_WARN, GB_LOG_ERROR };
+
+/* Starts logging to standard error. program is written on each line.
+ * level is "debug", "info", "warn" or "error"; returns false on any other. */
+bool GbLog_Init(const char *program, const char *level);
+
+void GbLog_Finish(void);
+
+/* Writes one line: time, level, program, event=EVENT and the formatted
+ * key=value pairs. May be called by any task. */
+void GbLog_Event(enum GbLogLevel level, const char *event, const char *format,
+                 ...) __attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/src/transport/settings.c
@@ -0,0 +1,182 @@
+#include "transport/settings.h"
+
+#include <argtable2.h>
+#include <ctype.h>
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/keys.h"
+#include "state/address.h"
+
+#define VARIABLE_BYTES 64
+#define ERRORS_MAX 16
+
+static bool
+set_number(const struct GbSetting *setting, const char *text, int64_t *value)
+{
+    char *end;
+    int64_t number;
+
+    errno = 0;
+    number = strtoll(text, &end, 10);
+    if (errno != 0 || end == text || *end != '\0' || number < setting->min ||
+        number > setting->max) {
+        return false;
+    }
+    *value = number;
+    return true;
+}
+
+static bool
+set_value(const struct GbSetting *setting, const char *text, void *values)
+{
+    void *value = (char *)values + setting->offset;
+
+    switch (setting->kind) {
+    case GB_SETTING_TEXT:
+        return g_strlcpy(value, text, GB_SETTING_TEXT_BYTES) <
+               GB_SETTING_TEXT_BYTES;
+    case GB_SETTING_NUMBER:
+        return set_number(setting, text, value);
+    case GB_SETTING_ADDRESS:
+        return text[0] == '\0' || GbAddress_Parse(value, text);
+    case GB_SETTING_KEY:
+        return text[0] == '\0' || GbKeys_ParseHex(value, text);
+    }
+    return false;
+}
+
+static void
+report(const struct GbSetting *setting, const char *program, const char *text,
+       FILE *errors)
+{
+    if (text == NULL) {
+        fprintf(errors, "%s: setting %s is required: %s\n", program,
+                setting->name, setting->unit);
+    }
+    else if (setting->kind == GB_SETTING_NUMBER) {
+        fprintf(errors,
+                "%s: setting %s is \"%s\", must be a whole number from "
+                "%" PRIi64 " to %" PRIi64 " (%s)\n",
+                program, setting->name, text, setting->min, setting->max,
+                setting->unit);
+    }
+    else if (setting->kind == GB_SETTING_KEY) {
+        /* The text may be close to a secret. */
+        fprintf(errors, "%s: setting %s must be %s\n", program, setting->name,
+                setting->unit);
+    }
+    else {
+        fprintf(errors, "%s: setting %s is \"%s\", must be %s\n", program,
+                setting->name, text, setting->unit);
+    }
+}
+
+static const char *
+text_of(const struct GbSetting *setting, const struct arg_str *flag)
+{
+    char variable[VARIABLE_BYTES];
+    const char *text;
+
+    if (flag->count > 0) {
+        return flag->sval[0];
+    }
+    GbSettings_Variable(setting, variable, sizeof(variable));
+    text = getenv(variable);
+    return text != NULL ? text : setting->fallback;
+}
+
+static enum GbTransportStatus
+take_values(const struct GbSetting *settings, size_t count,
+            const char *program, void **flags, void *values, FILE *errors)
+{
+    enum GbTransportStatus status = GB_TRANSPORT_OK;
+
+    for (size_t i = 0; i < count; i++) {
+        const char *text = text_of(&settings[i], flags[i]);
+
+        if (text == NULL || !set_value(&settings[i], text, values)) {
+            report(&settings[i], program, text, errors);
+            status = GB_TRANSPORT_INVALID_SETTING;
+        }
+    }
+    return status;
+}
+
+static void
+print_help(const struct GbSetting *settings, size_t count, const char *program)
+{
+    printf("Usage: %s [--SETTING VALUE]...\n\n", program);
+    for (size_t i = 0; i < count; i++) {
+        char variable[VARIABLE_BYTES];
+
+        GbSettings_Variable(&settings[i], variable, sizeof(variable));
+        printf("  --%s <%s>\n      %s\n      Variable %s", settings[i].name,
+               settings[i].unit, settings[i].help, variable);
+        if (settings[i].fallback == NULL) {
+            printf(", required");
+        }
+        else if (settings[i].fallback[0] != '\0') {
+            printf(", default %s", settings[i].fallback);
+        }
+        if (settings[i].kind == GB_SETTING_NUMBER) {
+            printf(", from %" PRIi64 " to %" PRIi64, settings[i].min,
+                   settings[i].max);
+        }
+        printf("\n");
+    }
+    printf("  --help\n  --version\n");
+}
+
+enum GbTransportStatus
+GbSettings_Load(const struct GbSetting *settings, size_t count,
+                const char *program, int argc, char **argv, void *values,
+                FILE *errors)
+{
+    void **flags = g_new0(void *, count + 3);
+    struct arg_lit *help = arg_lit0(NULL, "help", "");
+    struct arg_lit *version = arg_lit0(NULL, "version", "");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    enum GbTransportStatus status;
+
+    for (size_t i = 0; i < count; i++) {
+        flags[i] = arg_str0(NULL, settings[i].name, settings[i].unit,
+                            settings[i].help);
+    }
+    flags[count] = help;
+    flags[count + 1] = version;
+    flags[count + 2] = end;
+    if (arg_parse(argc, argv, flags) > 0 && help->count == 0 &&
+        version->count == 0) {
+        arg_print_errors(errors, end, program);
+        status = GB_TRANSPORT_INVALID_SETTING;
+    }
+    else if (help->count > 0) {
+        print_help(settings, count, program);
+        status = GB_TRANSPORT_INFORMATION;
+    }
+    else if (version->count > 0) {
+        printf("%s %s\n", program, GB_VERSION);
+        status = GB_TRANSPORT_INFORMATION;
+    }
+    else {
+        status =
+            take_values(settings, count, program, flags, values, errors);
+    }
+    arg_freetable(flags, count + 3);
+    g_free(flags);
+    return status;
+}
+
+void
+GbSettings_Variable(const struct GbSetting *setting, char *buffer,
+                    size_t size_bytes)
+{
+    g_snprintf(buffer, (gulong)size_bytes, "GUAVABEND_%s", setting->name);
+    for (char *c = buffer; *c != '\0'; c++) {
+        *c = *c == '-' ? '_' : (char)toupper((unsigned char)*c);
+    }
+}
--- /dev/null
+++ b/src/transport/settings.h
@@ -0,0 +1,57 @@
+#ifndef GB_TRANSPORT_SETTINGS_H
+#define GB_TRANSPORT_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "state/last_message.h"
+#include "transport/status.h"
+
+#define GB_SETTING_TEXT_BYTES 256
+
+enum GbSettingKind {
+    /* char[GB_SETTING_TEXT_BYTES] */
+    GB_SETTING_TEXT,
+    /* int64_t */
+    GB_SETTING_NUMBER,
+    /* struct GbAddress */
+    GB_SETTING_ADDRESS,
+    /* uint8_t[GB_KEY_BYTES], 32 hexadecimal digits */
+    GB_SETTING_KEY
+};
+
+/* One setting of a program. The tables of settings drive flags, environment
+ * variables, checks and help. */
+struct GbSetting {
+    /* Flag without dashes. The variable is GUAVABEND_ and the name in upper
+     * case with '_' for '-'. */
+    const char *name;
+    enum GbSettingKind kind;
+    /* Place in the struct that GbSettings_Load fills. */
+    size_t offset;
+    /* Text of the default; NULL if the setting is required; "" if it may be
+     * left out. */
+    const char *fallback;
+    int64_t min;
+    int64_t max;
+    /* Unit or form, for help. */
+    const char *unit;
+    const char *help;
+};
+
+/* Fills values from flags, then from environment variables, then from
+ * defaults. Help and version are printed to standard output.
+ *
+ * Errors: GB_TRANSPORT_INFORMATION after help or version,
+ * GB_TRANSPORT_INVALID_SETTING with one line for each wrong setting. */
+enum GbTransportStatus GbSettings_Load(const struct GbSetting *settings,
+                                       size_t count, const char *program,
+                                       int argc, char **argv, void *values,
+                                       FILE *errors);
+
+/* Name of the environment variable of a setting. */
+void GbSettings_Variable(const struct GbSetting *setting, char *buffer,
+                         size_t size_bytes);
+
+#endif
--- /dev/null
+++ b/src/transport/status.h
@@ -0,0 +1,14 @@
+#ifndef GB_TRANSPORT_STATUS_H
+#define GB_TRANSPORT_STATUS_H
+
+enum GbTransportStatus {
+    GB_TRANSPORT_OK,
+    /* The system refused a socket, thread or event. */
+    GB_TRANSPORT_SYSTEM,
+    /* The command line or environment asks for help or version only. */
+    GB_TRANSPORT_INFORMATION,
+    GB_TRANSPORT_INVALID_SETTING,
+    GB_TRANSPORT_UNREACHABLE
+};
+
+#endif
--- /dev/null
+++ b/src/transport/target_task.h
@@ -0,0 +1,22 @@
+#ifndef GB_TRANSPORT_TARGET_TASK_H
+#define GB_TRANSPORT_TARGET_TASK_H
+
+#include "transport/target_client.h"
+#include "transport/task.h"
+
+/* Task of an agent that owns the connections to the target. */
+struct GbTargetTask {
+    struct GbTask super;
+    struct GbTargetEvents events;
+    struct GbTargetClient client;
+    struct GbAddress target;
+    /* Is told what happens to the work. */
+    struct GbTask *data;
+};
+
+/* Prepares the task for GbTask_Open. data must outlive the task. */
+void GbTargetTask_Init(struct GbTargetTask *self,
+                       const struct GbAddress *target, struct GbTask *data,
+                       struct GbClock *clock);
+
+#endif
--- /dev/null
+++ b/src/transport/udp.c
@@ -0,0 +1,199 @@
+#include "transport/udp.h"
+
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Holds the datagrams of about 10 ms at the full rate of one task. */
+#define SOCKET_BUFFER_BYTES (4 * 1024 * 1024)
+/* Batches read before other events of the task get their turn. */
+#define BATCHES_MAX 8
+
+static void
+to_system(const struct GbAddress *address, struct sockaddr_in *system)
+{
+    memset(system, 0, sizeof(*system));
+    system->sin_family = AF_INET;
+    system->sin_addr.s_addr = htonl(address->ipv4);
+    system->sin_port = htons(address->port);
+}
+
+static void
+from_system(const struct sockaddr_in *system, struct GbAddress *address)
+{
+    address->ipv4 = ntohl(system->sin_addr.s_addr);
+    address->port = ntohs(system->sin_port);
+}
+
+static void
+udp_send(struct GbDatagramPort *port, const struct GbAddress *to,
+         struct GbBytes header, struct GbBytes body)
+{
+    struct GbUdp *self = (struct GbUdp *)port;
+    uint32_t size_bytes = header.size_bytes + body.size_bytes;
+    uint8_t *buffer;
+
+    if (size_bytes == 0 || size_bytes > GB_UDP_BUFFER_BYTES) {
+        GbCounters_Add(self->counters, GB_COUNTER_SEND_FAILURES, 1);
+        return;
+    }
+    if (self->out_count == GB_UDP_BATCH) {
+        GbUdp_Flush(self);
+    }
+    buffer = self->out_buffers[self->out_count];
+    if (header.size_bytes > 0) {
+        memcpy(buffer, header.data, header.size_bytes);
+    }
+    memcpy(buffer + header.size_bytes, body.data, body.size_bytes);
+    self->out_vectors[self->out_count].iov_len = size_bytes;
+    to_system(to, &self->out_addresses[self->out_count]);
+    self->out_count++;
+}
+
+static const struct GbDatagramPortClass GbUdp_Class = {
+    .send = udp_send,
+};
+
+static void
+readable(evutil_socket_t fd, short events, void *context)
+{
+    struct GbUdp *self = context;
+
+    (void)events;
+    for (int batch = 0; batch < BATCHES_MAX; batch++) {
+        int count = recvmmsg(fd, self->in, GB_UDP_BATCH, MSG_DONTWAIT, NULL);
+
+        if (count <= 0) {
+            return;
+        }
+        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_RECEIVED,
+                       (uint64_t)count);
+        for (int i = 0; i < count; i++) {
+            struct GbAddress from;
+
+            from_system(&self->in_addresses[i], &from);
+            self->listener->received(self->listener, &from,
+                                     self->in_buffers[i], self->in[i].msg_len);
+            self->in[i].msg_hdr.msg_namelen = sizeof(self->in_addresses[i]);
+        }
+        GbUdp_Flush(self);
+        if (count < GB_UDP_BATCH) {
+            return;
+        }
+    }
+}
+
+static void
+init_batch(struct mmsghdr *batch, struct iovec *vectors,
+           struct sockaddr_in *addresses,
+           uint8_t buffers[][GB_UDP_BUFFER_BYTES])
+{
+    memset(batch, 0, GB_UDP_BATCH * sizeof(*batch));
+    for (int i = 0; i < GB_UDP_BATCH; i++) {
+        vectors[i].iov_base = buffers[i];
+        vectors[i].iov_len = GB_UDP_BUFFER_BYTES;
+        batch[i].msg_hdr.msg_iov = &vectors[i];
+        batch[i].msg_hdr.msg_iovlen = 1;
+        batch[i].msg_hdr.msg_name = &addresses[i];
+        batch[i].msg_hdr.msg_namelen = sizeof(addresses[i]);
+    }
+}
+
+static bool
+open_socket(struct GbUdp *self, const struct GbAddress *address,
+            bool is_shared)
+{
+    static const int on = 1;
+    static const int buffer_bytes = SOCKET_BUFFER_BYTES;
+    struct sockaddr_in system;
+
+    self->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (self->fd < 0) {
+        return false;
+    }
+    setsockopt(self->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+               sizeof(buffer_bytes));
+    setsockopt(self->fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes,
+               sizeof(buffer_bytes));
+    if (is_shared && setsockopt(self->fd, SOL_SOCKET, SO_REUSEPORT, &on,
+                                sizeof(on)) != 0) {
+        return false;
+    }
+    to_system(address, &system);
+    return bind(self->fd, (struct sockaddr *)&system, sizeof(system)) == 0;
+}
+
+enum GbTransportStatus
+GbUdp_Open(struct GbUdp *self, const struct GbAddress *address, bool is_shared,
+           struct event_base *base, struct GbUdpListener *listener,
+           struct GbCounters *counters, struct GbLastMessage *last)
+{
+    char text[GB_ADDRESS_TEXT_BYTES];
+
+    self->super.klass = &GbUdp_Class;
+    self->listener = listener;
+    self->counters = counters;
+    self->out_count = 0;
+    self->readable = NULL;
+    init_batch(self->in, self->in_vectors, self->in_addresses,
+               self->in_buffers);
+    init_batch(self->out, self->out_vectors, self->out_addresses,
+               self->out_buffers);
+    if (!open_socket(self, address, is_shared)) {
+        GbLastMessage_Set(last, "no UDP socket on %s: %s",
+                          GbAddress_Format(address, text), strerror(errno));
+        GbUdp_Close(self);
+        return GB_TRANSPORT_SYSTEM;
+    }
+    self->readable =
+        event_new(base, self->fd, EV_READ | EV_PERSIST, readable, self);
+    event_add(self->readable, NULL);
+    return GB_TRANSPORT_OK;
+}
+
+void
+GbUdp_Close(struct GbUdp *self)
+{
+    if (self->readable != NULL) {
+        event_free(self->readable);
+        self->readable = NULL;
+    }
+    if (self->fd >= 0) {
+        close(self->fd);
+        self->fd = -1;
+    }
+}
+
+struct GbAddress
+GbUdp_Address(const struct GbUdp *self)
+{
+    struct sockaddr_in system = {0};
+    socklen_t size_bytes = sizeof(system);
+    struct GbAddress address;
+
+    getsockname(self->fd, (struct sockaddr *)&system, &size_bytes);
+    from_system(&system, &address);
+    return address;
+}
+
+void
+GbUdp_Flush(struct GbUdp *self)
+{
+    uint32_t sent = 0;
+
+    while (sent < self->out_count) {
+        int count =
+            sendmmsg(self->fd, self->out + sent, self->out_count - sent, 0);
+
+        if (count <= 0) {
+            /* Only the first datagram of the call failed: skip it. */
+            GbCounters_Add(self->counters, GB_COUNTER_SEND_FAILURES, 1);
+            sent++;
+            continue;
+        }
+        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_SENT,
+                       (uint64_t)count);
+        sent += (uint32_t)count;
+    }
+    self->out_count = 0;
+}
