--- a/src/programs/guavabend_agent_main.c
+++ b/src/programs/guavabend_agent_main.c
@@ -51,7 +51,8 @@
      offsetof(struct Settings, stop_limit_ms), "600000", 0, 86400000, "ms",
      "A stopping agent ends after so long in any case."},
     {"log-level", GB_SETTING_TEXT, offsetof(struct Settings, log_level),
-     "info", 0, 0, "debug, info, warn or error", "Least level that is logged."},
+     "info", 0, 0, "debug, info, warn or error",
+     "Least level that is logged."},
 };
 
 struct Agent {
@@ -136,9 +137,9 @@
     static struct Agent agent;
     struct Settings settings = {0};
     struct GbLastMessage last;
-    enum GbTransportStatus status = GbSettings_Load(
-        settings_table, G_N_ELEMENTS(settings_table), PROGRAM, argc, argv,
-        &settings, stderr);
+    enum GbTransportStatus status =
+        GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
+                        argc, argv, &settings, stderr);
 
     if (status == GB_TRANSPORT_INFORMATION) {
         return GB_EXIT_DONE;
@@ -147,8 +148,9 @@
         return GB_EXIT_USAGE;
     }
     if (!GbLog_Init(PROGRAM, settings.log_level)) {
-        fprintf(stderr, "%s: setting log-level must be debug, info, warn or "
-                        "error\n",
+        fprintf(stderr,
+                "%s: setting log-level must be debug, info, warn or "
+                "error\n",
                 PROGRAM);
         return GB_EXIT_USAGE;
     }
--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -32,8 +32,7 @@
     {"data-centre", GB_SETTING_TEXT, offsetof(struct Settings, data_centre),
      NULL, 0, 0, "name", "Data centre of this instance."},
     {"listen", GB_SETTING_ADDRESS, offsetof(struct Settings, listen),
-     "127.0.0.1:0", 0, 0, "ipv4:port",
-     "UDP address for callers and agents."},
+     "127.0.0.1:0", 0, 0, "ipv4:port", "UDP address for callers and agents."},
     {"http-listen", GB_SETTING_ADDRESS, offsetof(struct Settings, http_listen),
      "127.0.0.1:0", 0, 0, "ipv4:port",
      "HTTP address for metrics, health and status."},
@@ -52,7 +51,8 @@
      offsetof(struct Settings, stop_limit_ms), "30000", 0, 3600000, "ms",
      "A stopping balancer ends after so long in any case."},
     {"log-level", GB_SETTING_TEXT, offsetof(struct Settings, log_level),
-     "info", 0, 0, "debug, info, warn or error", "Least level that is logged."},
+     "info", 0, 0, "debug, info, warn or error",
+     "Least level that is logged."},
 };
 
 struct Balancer {
@@ -152,9 +152,9 @@
     static struct Balancer balancer;
     struct Settings settings = {0};
     struct GbLastMessage last;
-    enum GbTransportStatus status = GbSettings_Load(
-        settings_table, G_N_ELEMENTS(settings_table), PROGRAM, argc, argv,
-        &settings, stderr);
+    enum GbTransportStatus status =
+        GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
+                        argc, argv, &settings, stderr);
 
     if (status == GB_TRANSPORT_INFORMATION) {
         return GB_EXIT_DONE;
@@ -163,8 +163,9 @@
         return GB_EXIT_USAGE;
     }
     if (!GbLog_Init(PROGRAM, settings.log_level)) {
-        fprintf(stderr, "%s: setting log-level must be debug, info, warn or "
-                        "error\n",
+        fprintf(stderr,
+                "%s: setting log-level must be debug, info, warn or "
+                "error\n",
                 PROGRAM);
         return GB_EXIT_USAGE;
     }
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -22,8 +22,7 @@
 
 static void
 heard_revision(struct GbRevisionListener *listener,
-               const struct GbAddress *from,
-               const struct GbRevision *revision)
+               const struct GbAddress *from, const struct GbRevision *revision)
 {
     struct GbBalancerTask *self = OF_MEMBER(listener, revisions);
     const struct GbView *view = self->balancer.view;
--- a/src/transport/caller_task.h
+++ b/src/transport/caller_task.h
@@ -35,8 +35,7 @@
 /* Prepares the task for GbTask_Open. Takes its own reference of document;
  * service is one of its services. */
 void GbCallerTask_Init(struct GbCallerTask *self, struct GbDocument *document,
-                       const struct GbService *service,
-                       struct GbClock *clock);
+                       const struct GbService *service, struct GbClock *clock);
 
 /* Adds a balancer. To be called before start. */
 bool GbCallerTask_AddBalancer(struct GbCallerTask *self,
--- a/src/transport/control_task.c
+++ b/src/transport/control_task.c
@@ -132,8 +132,8 @@
 {
     GbPlatformClient_Get(&self->platform, "/v1/head", PLATFORM_TIMEOUT_MS,
                          &self->head_reply);
-    GbPlatformClient_Get(&self->platform, "/v1/instances",
-                         PLATFORM_TIMEOUT_MS, &self->instances_reply);
+    GbPlatformClient_Get(&self->platform, "/v1/instances", PLATFORM_TIMEOUT_MS,
+                         &self->instances_reply);
 }
 
 static uint64_t
@@ -188,11 +188,9 @@
         GbCounters_Merge(&sum, &self->reports[i].counters);
     }
     GbExposition_Counters(body, &sum);
-    GbExposition_Gauge(body, "document_revision",
-                       "Revision of the document in force.",
-                       self->document != NULL
-                           ? (int64_t)self->document->revision
-                           : 0);
+    GbExposition_Gauge(
+        body, "document_revision", "Revision of the document in force.",
+        self->document != NULL ? (int64_t)self->document->revision : 0);
     if (self->config.role == GB_ROLE_AGENT) {
         GbExposition_Gauge(body, "flows", "Flows held.", report->flow_count);
         GbExposition_Gauge(body, "requests", "Request records held.",
@@ -214,13 +212,13 @@
     if (self->document != NULL) {
         digest_hex(self->document, hex);
     }
-    g_string_append_printf(
-        body,
-        "{\"instance\":\"%s\",\"revision\":%" PRIu64
-        ",\"digest\":\"%s\",\"ready\":%s}\n",
-        self->config.instance_name,
-        self->document != NULL ? self->document->revision : 0, hex,
-        is_ready(self) ? "true" : "false");
+    g_string_append_printf(body,
+                           "{\"instance\":\"%s\",\"revision\":%" PRIu64
+                           ",\"digest\":\"%s\",\"ready\":%s}\n",
+                           self->config.instance_name,
+                           self->document != NULL ? self->document->revision
+                                                  : 0,
+                           hex, is_ready(self) ? "true" : "false");
 }
 
 static int
@@ -252,8 +250,7 @@
 {
     struct GbControlTask *self = (struct GbControlTask *)task;
 
-    GbPlatformClient_Init(&self->platform, task->base,
-                          &self->config.platform);
+    GbPlatformClient_Init(&self->platform, task->base, &self->config.platform);
     return GbHttpServer_Open(&self->http, &self->config.http_listen,
                              task->base, &self->handler, last);
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -14,8 +14,7 @@
 /* Answers requests for a path. */
 struct GbHttpHandler {
     /* Appends the body and returns the HTTP status. */
-    int (*handle)(struct GbHttpHandler *self, const char *path,
-                  GString *body);
+    int (*handle)(struct GbHttpHandler *self, const char *path, GString *body);
 };
 
 /* HTTP server for operators: metrics, health and status. */
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -23,8 +23,7 @@
 static log4c_category_t *category;
 
 static const char *
-format_line(const log4c_layout_t *layout,
-            const log4c_logging_event_t *event)
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
     static _Thread_local char line[LINE_BYTES + 2 * TIME_BYTES];
     char time_text[TIME_BYTES];
@@ -40,8 +39,7 @@
     return line;
 }
 
-static const log4c_layout_type_t line_layout = {"guavabend_line",
-                                                format_line};
+static const log4c_layout_type_t line_layout = {"guavabend_line", format_line};
 
 bool
 GbLog_Init(const char *program, const char *level)
--- a/src/transport/platform_client.c
+++ b/src/transport/platform_client.c
@@ -97,7 +97,7 @@
     g_hash_table_add(self->calls, call);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                       "platform");
-    evhttp_add_header(evhttp_request_get_output_headers(request),
-                      "Connection", "close");
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
     evhttp_make_request(call->connection, request, EVHTTP_REQ_GET, path);
 }
--- a/src/transport/platform_client.h
+++ b/src/transport/platform_client.h
@@ -15,8 +15,8 @@
 /* Is given the outcome of one call. */
 struct GbPlatformReply {
     /* status is the HTTP status; 0 if the platform did not answer. */
-    void (*done)(struct GbPlatformReply *self, int status,
-                 const uint8_t *data, size_t size_bytes);
+    void (*done)(struct GbPlatformReply *self, int status, const uint8_t *data,
+                 size_t size_bytes);
 };
 
 /* HTTP client of the platform, which can only be read. */
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -163,8 +163,7 @@
         status = GB_TRANSPORT_INFORMATION;
     }
     else {
-        status =
-            take_values(settings, count, program, flags, values, errors);
+        status = take_values(settings, count, program, flags, values, errors);
     }
     arg_freetable(flags, count + 3);
     g_free(flags);
--- a/src/transport/target_client.c
+++ b/src/transport/target_client.c
@@ -221,8 +221,8 @@
 
     GbAddress_Format(&self->target, text);
     *strchr(text, ':') = '\0';
-    connection = evhttp_connection_base_new(self->base, NULL, text,
-                                            self->target.port);
+    connection =
+        evhttp_connection_base_new(self->base, NULL, text, self->target.port);
     evhttp_connection_set_retries(connection, 0);
     evhttp_connection_set_timeout(connection, CONNECTION_TIMEOUT_S);
     return connection;
@@ -265,8 +265,8 @@
     work->pause = event_new(self->base, -1, 0, pause_reading, work);
     work->connection = new_connection(self);
     g_hash_table_insert(self->works, &work->id, work);
-    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(
-                        work->connection)),
+    evbuffer_add_cb(bufferevent_get_output(
+                        evhttp_connection_get_bufferevent(work->connection)),
                     output_changed, work);
     request = evhttp_request_new(request_done, work);
     evhttp_request_set_header_cb(request, head_received);
--- a/src/transport/target_task.c
+++ b/src/transport/target_task.c
@@ -67,8 +67,7 @@
     else if (mail->klass == &GbAllowMail_Class) {
         const struct GbAllowMail *allow = (struct GbAllowMail *)mail;
 
-        GbTargetClient_Allow(&self->client, allow->work_id,
-                             allow->size_bytes);
+        GbTargetClient_Allow(&self->client, allow->work_id, allow->size_bytes);
     }
 }
 
--- a/src/transport/udp.c
+++ b/src/transport/udp.c
@@ -115,8 +115,8 @@
                sizeof(buffer_bytes));
     setsockopt(self->fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes,
                sizeof(buffer_bytes));
-    if (is_shared && setsockopt(self->fd, SOL_SOCKET, SO_REUSEPORT, &on,
-                                sizeof(on)) != 0) {
+    if (is_shared &&
+        setsockopt(self->fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0) {
         return false;
     }
     to_system(address, &system);
--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -132,8 +132,8 @@
     struct sockaddr_in system = {0};
     socklen_t size_bytes = sizeof(system);
 
-    getsockname(evhttp_bound_socket_get_fd(socket),
-                (struct sockaddr *)&system, &size_bytes);
+    getsockname(evhttp_bound_socket_get_fd(socket), (struct sockaddr *)&system,
+                &size_bytes);
     return ntohs(system.sin_port);
 }
 
--- /dev/null
+++ b/tests/test_answer.c
@@ -0,0 +1,68 @@
+#include "state/answer.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define CHUNK_BYTES 1000
+
+struct AnswerCase {
+    const char *name;
+    uint32_t chunks;
+    uint64_t acknowledged;
+    uint32_t expected_room;
+};
+
+static const struct AnswerCase answer_cases[] = {
+    {"empty", 0, 0, GB_ANSWER_WINDOW_BYTES},
+    {"one chunk", 1, 0, GB_ANSWER_WINDOW_BYTES - CHUNK_BYTES},
+    {"acknowledged in part", 10, 2500, GB_ANSWER_WINDOW_BYTES - 7500},
+    {"acknowledged beyond the end", 3, 9000, GB_ANSWER_WINDOW_BYTES},
+    {"full", 65, 0, GB_ANSWER_WINDOW_BYTES - 65 * CHUNK_BYTES},
+};
+
+static void
+fill(uint8_t *data, uint64_t offset)
+{
+    for (uint32_t i = 0; i < CHUNK_BYTES; i++) {
+        data[i] = (uint8_t)((offset + i) * 7 + (offset + i) / 256);
+    }
+}
+
+/* Guards against answers whose bytes change place when the ring grows. */
+static void
+test_window(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+        const struct AnswerCase *row = &answer_cases[i];
+        struct GbAnswer answer;
+        uint8_t data[CHUNK_BYTES];
+        uint8_t read[CHUNK_BYTES];
+
+        g_test_message("%s", row->name);
+        GbAnswer_Init(&answer);
+        for (uint32_t chunk = 0; chunk < row->chunks; chunk++) {
+            struct GbBytes bytes = {data, CHUNK_BYTES};
+
+            fill(data, answer.end);
+            g_assert_true(GbAnswer_Append(&answer, bytes));
+        }
+        GbAnswer_Acknowledge(&answer, row->acknowledged);
+        g_assert_cmpuint(GbAnswer_Room(&answer), ==, row->expected_room);
+        for (uint64_t at = answer.begin; at + CHUNK_BYTES <= answer.end;
+             at += CHUNK_BYTES) {
+            fill(data, at);
+            g_assert_cmpuint(GbAnswer_Read(&answer, at, CHUNK_BYTES, read), ==,
+                             CHUNK_BYTES);
+            g_assert_cmpmem(data, CHUNK_BYTES, read, CHUNK_BYTES);
+        }
+        GbAnswer_Finish(&answer);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/answer/window", test_window);
+    return g_test_run();
+}
