Add a simulation of many processes for tests

Faults that come together or at awkward moments cannot be reproduced with real processes. tests/support/simulation runs balancers, agents, callers and targets in one thread, with the decision cores and the *_wire modules as they are, over small fakes of clock, network, target and platform. Processes can be killed, restarted with a new incarnation, paused and resumed, also in the middle of a step: what a paused process was doing goes on when it wakes, and it then receives its queued datagrams.

The simulation itself checks, whenever a target runs something and whenever a caller gets an outcome: no second run of a non-idempotent request, no run before or after "not run", no run at a foreign service, answers equal to the bytes of one run, no new call at a target that has left, no document in force that goes back.

--- /dev/null
+++ b/tests/support/sim_events.c
@@ -0,0 +1,79 @@
+#include "support/sim_events.h"
+
+static gint
+compare(gconstpointer a, gconstpointer b, gpointer context)
+{
+    const struct GbSimEvent *event_a = a;
+    const struct GbSimEvent *event_b = b;
+
+    (void)context;
+    if (event_a->at_us != event_b->at_us) {
+        return event_a->at_us < event_b->at_us ? -1 : 1;
+    }
+    return event_a->sequence < event_b->sequence ? -1 : 1;
+}
+
+static struct GbSimEvent *
+first(const struct GbSimEvents *self)
+{
+    GSequenceIter *iter = g_sequence_get_begin_iter(self->queue);
+
+    return g_sequence_iter_is_end(iter) ? NULL : g_sequence_get(iter);
+}
+
+static struct GbSimEvent *
+take(struct GbSimEvents *self)
+{
+    struct GbSimEvent *event = first(self);
+
+    if (event != NULL) {
+        g_sequence_remove(g_sequence_get_begin_iter(self->queue));
+    }
+    return event;
+}
+
+void
+GbSimEvents_Init(struct GbSimEvents *self)
+{
+    self->queue = g_sequence_new(NULL);
+    self->last_sequence = 0;
+}
+
+void
+GbSimEvents_Finish(struct GbSimEvents *self)
+{
+    struct GbSimEvent *event;
+
+    while ((event = take(self)) != NULL) {
+        event->klass->free(event);
+    }
+    g_sequence_free(self->queue);
+}
+
+void
+GbSimEvents_Add(struct GbSimEvents *self, struct GbSimEvent *event,
+                int64_t at_us)
+{
+    event->at_us = at_us;
+    event->sequence = ++self->last_sequence;
+    g_sequence_insert_sorted(self->queue, event, compare, NULL);
+}
+
+int64_t
+GbSimEvents_NextUs(const struct GbSimEvents *self)
+{
+    const struct GbSimEvent *event = first(self);
+
+    return event != NULL ? event->at_us : GB_SIM_NEVER;
+}
+
+void
+GbSimEvents_RunNext(struct GbSimEvents *self)
+{
+    struct GbSimEvent *event = take(self);
+
+    if (event != NULL) {
+        event->klass->run(event);
+        event->klass->free(event);
+    }
+}
--- /dev/null
+++ b/tests/support/sim_platform.c
@@ -0,0 +1,181 @@
+#include "support/sim_platform.h"
+
+#include <string.h>
+
+static const struct GbOperation operations[] = {
+    {"check", 1, GB_CLASS_SHORT, false, 2000, 4096},
+    {"look", 2, GB_CLASS_SHORT, true, 2000, 4096},
+    {"pack", 3, GB_CLASS_LONG, true, 5000, 1024 * 1024},
+    {"order", 4, GB_CLASS_LONG, false, 5000, 4096},
+};
+
+static const char *const service_names[] = {"desk", "drawings"};
+
+static struct GbInstanceList *
+copy_list(const struct GbInstanceList *list, const char *without)
+{
+    struct GbInstanceList *copy = GbInstanceList_New();
+
+    copy->version = list->version + 1;
+    copy->instances = g_new0(struct GbInstance, list->count + 1);
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (strcmp(list->instances[i].name, without) != 0) {
+            copy->instances[copy->count++] = list->instances[i];
+        }
+    }
+    return copy;
+}
+
+static void
+replace_list(struct GbSimPlatform *self, struct GbInstanceList *list)
+{
+    GbInstanceList_Unref(self->list);
+    self->list = list;
+}
+
+void
+GbSimPlatform_Init(struct GbSimPlatform *self)
+{
+    static const struct GbSimPublication first = {.revision = 1};
+
+    self->document = GbSimPlatform_Document(&first);
+    self->list = GbInstanceList_New();
+}
+
+void
+GbSimPlatform_Finish(struct GbSimPlatform *self)
+{
+    GbDocument_Unref(self->document);
+    GbInstanceList_Unref(self->list);
+}
+
+struct GbDocument *
+GbSimPlatform_Document(const struct GbSimPublication *what)
+{
+    struct GbDocument *document = GbDocument_New();
+
+    document->revision = what->revision;
+    document->in_force_from_us = what->in_force_from_us;
+    document->digest[3] = (uint8_t)what->variant;
+    document->digest[4] = (uint8_t)what->revision;
+    document->service_count = G_N_ELEMENTS(service_names);
+    document->services = g_new0(struct GbService, document->service_count);
+    for (uint32_t i = 0; i < document->service_count; i++) {
+        struct GbService *service = &document->services[i];
+
+        g_strlcpy(service->name, service_names[i], sizeof(service->name));
+        service->id = i + 1;
+        service->slots = what->slots > 0 ? what->slots : 2;
+        service->operations = g_memdup2(operations, sizeof(operations));
+        service->operation_count = G_N_ELEMENTS(operations);
+        service->limits.flows = 1000;
+        service->limits.queue = 64;
+        service->limits.rate_per_s = 10000;
+        service->limits.retry_budget_percent = 10;
+        service->drain_flow_ms = 2000;
+        service->long_after_ms = 500;
+    }
+    return document;
+}
+
+void
+GbSimPlatform_Publish(struct GbSimPlatform *self,
+                      const struct GbSimPublication *what)
+{
+    GbDocument_Unref(self->document);
+    self->document = GbSimPlatform_Document(what);
+}
+
+void
+GbSimPlatform_SetInstance(struct GbSimPlatform *self,
+                          const struct GbInstance *instance)
+{
+    struct GbInstanceList *list = copy_list(self->list, instance->name);
+
+    list->instances[list->count++] = *instance;
+    replace_list(self, list);
+}
+
+void
+GbSimPlatform_RemoveInstance(struct GbSimPlatform *self, const char *name)
+{
+    replace_list(self, copy_list(self->list, name));
+}
+
+void
+GbSimFeed_Finish(struct GbSimFeed *self)
+{
+    GbDocument_Unref(self->stale_document);
+    GbInstanceList_Unref(self->lagging_list);
+    GbDocument_Unref(self->accepted);
+    GbDocument_Unref(self->in_force);
+    GbInstanceList_Unref(self->list);
+    memset(self, 0, sizeof(*self));
+}
+
+void
+GbSimFeed_SetStale(struct GbSimFeed *self,
+                   const struct GbSimPlatform *platform, bool is_stale)
+{
+    if (is_stale && !self->is_stale) {
+        self->stale_document = GbDocument_Ref(platform->document);
+    }
+    else if (!is_stale) {
+        GbDocument_Unref(self->stale_document);
+        self->stale_document = NULL;
+    }
+    self->is_stale = is_stale;
+}
+
+void
+GbSimFeed_SetLagging(struct GbSimFeed *self,
+                     const struct GbSimPlatform *platform, bool is_lagging)
+{
+    if (is_lagging && !self->is_lagging) {
+        self->lagging_list = GbInstanceList_Ref(platform->list);
+    }
+    else if (!is_lagging) {
+        GbInstanceList_Unref(self->lagging_list);
+        self->lagging_list = NULL;
+    }
+    self->is_lagging = is_lagging;
+}
+
+void
+GbSimFeed_Accept(struct GbSimFeed *self, struct GbDocument *document)
+{
+    if (document != NULL && GbDocument_Compare(document, self->accepted) > 0) {
+        GbDocument_Unref(self->accepted);
+        self->accepted = GbDocument_Ref(document);
+    }
+}
+
+struct GbView *
+GbSimFeed_Poll(struct GbSimFeed *self, const struct GbSimPlatform *platform,
+               int64_t wall_us)
+{
+    struct GbInstanceList *list =
+        self->is_lagging ? self->lagging_list : platform->list;
+    bool is_changed = false;
+
+    if (!self->is_down) {
+        GbSimFeed_Accept(self, self->is_stale ? self->stale_document
+                                              : platform->document);
+        if (self->list == NULL || list->version > self->list->version) {
+            GbInstanceList_Unref(self->list);
+            self->list = GbInstanceList_Ref(list);
+            is_changed = true;
+        }
+    }
+    if (self->accepted != NULL &&
+        GbDocument_Compare(self->accepted, self->in_force) > 0 &&
+        self->accepted->in_force_from_us <= wall_us) {
+        GbDocument_Unref(self->in_force);
+        self->in_force = GbDocument_Ref(self->accepted);
+        is_changed = true;
+    }
+    if (!is_changed || self->in_force == NULL || self->list == NULL) {
+        return NULL;
+    }
+    return GbView_New(self->in_force, self->list);
+}
--- /dev/null
+++ b/tests/support/sim_platform.h
@@ -0,0 +1,76 @@
+#ifndef GB_SUPPORT_SIM_PLATFORM_H
+#define GB_SUPPORT_SIM_PLATFORM_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "state/view.h"
+
+/* Configuration service and instance list, as the platform has them. */
+struct GbSimPlatform {
+    struct GbDocument *document;
+    struct GbInstanceList *list;
+};
+
+/* What one process gets to see of the platform, and what it holds of it. */
+struct GbSimFeed {
+    bool is_down;
+    /* Document and list stay as they were when this was set. */
+    bool is_stale;
+    bool is_lagging;
+    struct GbDocument *stale_document;
+    struct GbInstanceList *lagging_list;
+    /* Highest document accepted, which may not be in force yet. */
+    struct GbDocument *accepted;
+    struct GbDocument *in_force;
+    struct GbInstanceList *list;
+};
+
+/* Changes of a published document against the first one. */
+struct GbSimPublication {
+    uint64_t revision;
+    /* Distinguishes documents of one revision. */
+    uint32_t variant;
+    /* Slots of each target; 0 leaves them. */
+    uint32_t slots;
+    int64_t in_force_from_us;
+};
+
+void GbSimPlatform_Init(struct GbSimPlatform *self);
+
+void GbSimPlatform_Finish(struct GbSimPlatform *self);
+
+/* Document of the two services that scenarios use. */
+struct GbDocument *GbSimPlatform_Document(const struct GbSimPublication *what);
+
+void GbSimPlatform_Publish(struct GbSimPlatform *self,
+                           const struct GbSimPublication *what);
+
+/* Adds an instance or replaces the one of the same name. */
+void GbSimPlatform_SetInstance(struct GbSimPlatform *self,
+                               const struct GbInstance *instance);
+
+void GbSimPlatform_RemoveInstance(struct GbSimPlatform *self,
+                                  const char *name);
+
+void GbSimFeed_Finish(struct GbSimFeed *self);
+
+/* Freezes or releases what the feed gives. */
+void GbSimFeed_SetStale(struct GbSimFeed *self,
+                        const struct GbSimPlatform *platform, bool is_stale);
+void GbSimFeed_SetLagging(struct GbSimFeed *self,
+                          const struct GbSimPlatform *platform,
+                          bool is_lagging);
+
+/* Takes a document of a peer or of the platform if it is higher. */
+void GbSimFeed_Accept(struct GbSimFeed *self, struct GbDocument *document);
+
+/* Reads the platform, if it can be reached, and brings an accepted document
+ * into force when its time has come. Returns a new view if anything changed,
+ * or NULL. */
+struct GbView *GbSimFeed_Poll(struct GbSimFeed *self,
+                              const struct GbSimPlatform *platform,
+                              int64_t wall_us);
+
+#endif
--- /dev/null
+++ b/tests/support/simulation.c
@@ -0,0 +1,440 @@
+#include "support/simulation.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define NETWORK_BASE 0x0a000000
+#define PORT 7000
+/* Time for messages on their way when an instance begins to leave. */
+#define DRAIN_MARGIN_US INT64_C(100000)
+
+enum Later { LATER_START, LATER_RESUME };
+
+struct LaterEvent {
+    struct GbSimEvent super;
+    struct GbSimProcess *process;
+    enum Later what;
+};
+
+static void
+later_run(struct GbSimEvent *event)
+{
+    struct LaterEvent *self = (struct LaterEvent *)event;
+
+    if (self->what == LATER_START) {
+        GbSimProcess_Start(self->process);
+    }
+    else {
+        GbSimProcess_Resume(self->process);
+    }
+}
+
+static void
+later_free(struct GbSimEvent *event)
+{
+    g_free(event);
+}
+
+static const struct GbSimEventClass later_event_class = {
+    .run = later_run,
+    .free = later_free,
+};
+
+static void
+add_later(struct GbSimulation *self, struct GbSimProcess *process,
+          enum Later what, int64_t delay_us)
+{
+    struct LaterEvent *event = g_new0(struct LaterEvent, 1);
+
+    event->super.klass = &later_event_class;
+    event->process = process;
+    event->what = what;
+    GbSimEvents_Add(&self->events, &event->super, self->now_us + delay_us);
+}
+
+static struct GbSimCall *
+find_call(const struct GbSimulation *self, const char *key)
+{
+    for (guint i = 0; i < self->calls->len; i++) {
+        struct GbSimCall *call = self->calls->pdata[i];
+
+        if (strcmp(call->key, key) == 0) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static void
+list_instance(struct GbSimulation *self, const struct GbSimProcess *process,
+              bool is_leaving)
+{
+    struct GbInstance instance = {.weight = 100};
+
+    if (process->role == GB_SIM_CALLER) {
+        return;
+    }
+    g_strlcpy(instance.name, process->node.name, sizeof(instance.name));
+    instance.id = GbInstance_IdOfName(instance.name);
+    instance.address = process->node.address;
+    instance.is_leaving = is_leaving;
+    instance.role = GB_ROLE_BALANCER;
+    if (process->role == GB_SIM_AGENT) {
+        instance.role = GB_ROLE_AGENT;
+        g_strlcpy(instance.service, process->agent.service,
+                  sizeof(instance.service));
+    }
+    GbSimPlatform_SetInstance(&self->platform, &instance);
+}
+
+static bool
+has_open_calls(const struct GbSimulation *self)
+{
+    for (guint i = 0; i < self->calls->len; i++) {
+        const struct GbSimCall *call = self->calls->pdata[i];
+
+        if (call->deliveries == 0 && !call->is_abandoned) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Runs what comes next, if it comes by a time. */
+static bool
+run_next(struct GbSimulation *self, int64_t until_us)
+{
+    int64_t next_us = GbSimEvents_NextUs(&self->events);
+    struct GbSimProcess *first = NULL;
+
+    for (guint i = 0; i < self->processes->len; i++) {
+        struct GbSimProcess *process = self->processes->pdata[i];
+        int64_t at_us = GbSimProcess_NextUs(process);
+
+        if (at_us < next_us) {
+            next_us = at_us;
+            first = process;
+        }
+    }
+    if (next_us > until_us) {
+        return false;
+    }
+    self->now_us = MAX(self->now_us, next_us);
+    if (first != NULL) {
+        GbSimProcess_Tick(first);
+    }
+    else {
+        GbSimEvents_RunNext(&self->events);
+    }
+    return true;
+}
+
+/* Whether the answer is what one run of this request gave. */
+static bool
+is_answer_of_run(const struct GbSimulation *self, const char *key,
+                 struct GbBytes answer)
+{
+    uint8_t *expected = g_malloc(answer.size_bytes + 1);
+    bool is_equal = false;
+
+    for (guint i = 0; i < self->runs->len && !is_equal; i++) {
+        const struct GbSimRun *run =
+            &g_array_index(self->runs, struct GbSimRun, i);
+
+        if (strcmp(run->key, key) == 0 &&
+            run->answer_bytes == answer.size_bytes) {
+            GbSimRun_FillAnswer(run, expected, 0, answer.size_bytes);
+            is_equal = memcmp(expected, answer.data, answer.size_bytes) == 0;
+        }
+    }
+    g_free(expected);
+    return is_equal;
+}
+
+void
+GbSimulation_Init(struct GbSimulation *self, uint64_t seed, bool keeps_trace)
+{
+    memset(self, 0, sizeof(*self));
+    self->seed = seed;
+    GbSeededRandom_Init(&self->random, seed);
+    for (int i = 0; i < GB_KEY_BYTES; i++) {
+        self->keys.current[i] = (uint8_t)(i + 1);
+    }
+    GbSimEvents_Init(&self->events);
+    GbSimNetwork_Init(&self->network, &self->events, &self->random.super,
+                      &self->keys, &self->now_us);
+    GbSimPlatform_Init(&self->platform);
+    self->processes = g_ptr_array_new();
+    self->runs = g_array_new(FALSE, FALSE, sizeof(struct GbSimRun));
+    self->calls = g_ptr_array_new_with_free_func(g_free);
+    self->violations = g_ptr_array_new_with_free_func(g_free);
+    if (keeps_trace) {
+        self->trace = g_string_new(NULL);
+        self->network.trace = self->trace;
+    }
+}
+
+void
+GbSimulation_Finish(struct GbSimulation *self)
+{
+    self->observer = NULL;
+    for (guint i = 0; i < self->processes->len; i++) {
+        GbSimProcess_Free(self->processes->pdata[i]);
+    }
+    g_ptr_array_free(self->processes, TRUE);
+    GbSimEvents_Finish(&self->events);
+    GbSimNetwork_Finish(&self->network);
+    GbSimPlatform_Finish(&self->platform);
+    g_array_free(self->runs, TRUE);
+    g_ptr_array_free(self->calls, TRUE);
+    g_ptr_array_free(self->violations, TRUE);
+    if (self->trace != NULL) {
+        g_string_free(self->trace, TRUE);
+    }
+}
+
+struct GbSimProcess *
+GbSimulation_Start(struct GbSimulation *self, enum GbSimRole role,
+                   const char *name, const char *service)
+{
+    struct GbAddress address = {NETWORK_BASE + self->processes->len + 1, PORT};
+
+    return GbSimulation_StartAt(self, role, name, service, &address);
+}
+
+struct GbSimProcess *
+GbSimulation_StartAt(struct GbSimulation *self, enum GbSimRole role,
+                     const char *name, const char *service,
+                     const struct GbAddress *address)
+{
+    struct GbSimNode *holder = GbSimNetwork_Find(&self->network, address);
+    struct GbSimProcess *process;
+
+    if (GbSimulation_Find(self, name) != NULL) {
+        return NULL;
+    }
+    if (holder != NULL) {
+        g_ptr_array_remove(self->network.nodes, holder);
+    }
+    process = GbSimProcess_New(self, role, name, address, service);
+    g_ptr_array_add(self->processes, process);
+    g_ptr_array_add(self->network.nodes, process);
+    list_instance(self, process, false);
+    GbSimProcess_Start(process);
+    return process;
+}
+
+void
+GbSimulation_Restart(struct GbSimulation *self, struct GbSimProcess *process,
+                     int64_t delay_us)
+{
+    add_later(self, process, LATER_START, delay_us);
+}
+
+void
+GbSimulation_ResumeLater(struct GbSimulation *self,
+                         struct GbSimProcess *process, int64_t delay_us)
+{
+    add_later(self, process, LATER_RESUME, delay_us);
+}
+
+struct GbSimProcess *
+GbSimulation_Find(const struct GbSimulation *self, const char *name)
+{
+    for (guint i = 0; i < self->processes->len; i++) {
+        struct GbSimProcess *process = self->processes->pdata[i];
+
+        if (strcmp(process->node.name, name) == 0) {
+            return process;
+        }
+    }
+    return NULL;
+}
+
+void
+GbSimulation_SetLeaving(struct GbSimulation *self, const char *name)
+{
+    const struct GbSimProcess *process = GbSimulation_Find(self, name);
+
+    if (process != NULL) {
+        list_instance(self, process, true);
+    }
+}
+
+void
+GbSimulation_Unlist(struct GbSimulation *self, const char *name)
+{
+    GbSimPlatform_RemoveInstance(&self->platform, name);
+}
+
+struct GbSimCall *
+GbSimulation_Call(struct GbSimulation *self, struct GbSimProcess *caller,
+                  const char *session, const char *operation,
+                  const char *label)
+{
+    const struct GbOperation *found =
+        GbService_OperationByName(&caller->caller.service, operation);
+    struct GbSimCall *call;
+
+    if (found == NULL || caller->state != GB_SIM_RUNNING) {
+        return NULL;
+    }
+    call = g_new0(struct GbSimCall, 1);
+    g_snprintf(call->key, sizeof(call->key), "%s/%u",
+               caller->caller.service.name, self->calls->len + 1);
+    g_strlcpy(call->label, label, sizeof(call->label));
+    g_strlcpy(call->operation, operation, sizeof(call->operation));
+    g_strlcpy(call->service, caller->caller.service.name,
+              sizeof(call->service));
+    call->caller = caller;
+    call->is_idempotent = found->is_idempotent;
+    call->started_us = self->now_us;
+    g_ptr_array_add(self->calls, call);
+    GbSimulation_Trace(self, "call %s %s by %s", call->key, operation,
+                       caller->node.name);
+    GbSimProcess_Call(caller, session, operation, call->key, call);
+    return call;
+}
+
+void
+GbSimulation_RunUntil(struct GbSimulation *self, int64_t at_us)
+{
+    while (run_next(self, at_us)) {
+    }
+    self->now_us = MAX(self->now_us, at_us);
+}
+
+void
+GbSimulation_RunCalls(struct GbSimulation *self, int64_t until_us)
+{
+    while (has_open_calls(self) && run_next(self, until_us)) {
+    }
+}
+
+void
+GbSimulation_CheckEnd(struct GbSimulation *self)
+{
+    for (guint i = 0; i < self->calls->len; i++) {
+        const struct GbSimCall *call = self->calls->pdata[i];
+
+        if (call->deliveries == 0 && !call->is_abandoned) {
+            GbSimulation_Violate(self, "call %s did not end", call->key);
+        }
+    }
+}
+
+uint32_t
+GbSimulation_RunCount(const struct GbSimulation *self, const char *key)
+{
+    uint32_t count = 0;
+
+    for (guint i = 0; i < self->runs->len; i++) {
+        if (strcmp(g_array_index(self->runs, struct GbSimRun, i).key, key) ==
+            0) {
+            count++;
+        }
+    }
+    return count;
+}
+
+void
+GbSimulation_Trace(struct GbSimulation *self, const char *format, ...)
+{
+    va_list arguments;
+
+    if (self->trace == NULL) {
+        return;
+    }
+    g_string_append_printf(self->trace, "%9.3f ms ",
+                           (double)self->now_us / 1000);
+    va_start(arguments, format);
+    g_string_append_vprintf(self->trace, format, arguments);
+    va_end(arguments);
+    g_string_append_c(self->trace, '\n');
+}
+
+void
+GbSimulation_Violate(struct GbSimulation *self, const char *format, ...)
+{
+    va_list arguments;
+    char *text;
+
+    va_start(arguments, format);
+    text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    GbSimulation_Trace(self, "VIOLATION %s", text);
+    g_ptr_array_add(self->violations, text);
+}
+
+void
+GbSimulation_Step(struct GbSimulation *self, enum GbSimStep step,
+                  struct GbSimProcess *process, struct GbBytes datagram)
+{
+    if (self->observer != NULL) {
+        self->observer->klass->step(self->observer, step, process, datagram);
+    }
+}
+
+void
+GbSimulation_Ran(struct GbSimulation *self, struct GbSimProcess *agent,
+                 const struct GbSimRun *run)
+{
+    static const struct GbBytes no_bytes = {NULL, 0};
+    const struct GbSimCall *call = find_call(self, run->key);
+    int64_t drain_us = agent->agent.drain_us;
+
+    GbSimulation_Trace(self, "%s runs %s", run->instance, run->key);
+    if (call == NULL) {
+        GbSimulation_Violate(self, "%s ran a request of no caller",
+                             run->instance);
+        return;
+    }
+    if (!call->is_idempotent && GbSimulation_RunCount(self, run->key) > 0) {
+        GbSimulation_Violate(self, "%s ran twice, then at %s", run->key,
+                             run->instance);
+    }
+    if (strcmp(call->service, run->service) != 0) {
+        GbSimulation_Violate(self, "%s of %s ran at %s of %s", run->key,
+                             call->service, run->instance, run->service);
+    }
+    if (call->deliveries > 0 && call->outcome == GB_OUTCOME_NOT_RUN) {
+        GbSimulation_Violate(self, "%s ran at %s after \"not run\"", run->key,
+                             run->instance);
+    }
+    if (drain_us != GB_SIM_NEVER && agent->agent.core.service != NULL &&
+        call->started_us >
+            drain_us +
+                (int64_t)agent->agent.core.service->drain_flow_ms * 1000 +
+                DRAIN_MARGIN_US) {
+        GbSimulation_Violate(self, "%s was called after %s had left", run->key,
+                             run->instance);
+    }
+    g_array_append_val(self->runs, *run);
+    GbSimulation_Step(self, GB_SIM_RUN, agent, no_bytes);
+}
+
+void
+GbSimulation_Delivered(struct GbSimulation *self, struct GbSimCall *call,
+                       const struct GbResult *result)
+{
+    static const char *const names[] = {"answered", "not run", "unknown"};
+
+    call->deliveries++;
+    call->ended_us = self->now_us;
+    call->outcome = result->outcome;
+    call->not_run = result->not_run;
+    call->unknown = result->unknown;
+    call->submissions = result->submissions;
+    GbSimulation_Trace(self, "%s is %s", call->key, names[result->outcome]);
+    if (call->deliveries > 1) {
+        GbSimulation_Violate(self, "%s ended twice", call->key);
+    }
+    if (result->outcome == GB_OUTCOME_NOT_RUN &&
+        GbSimulation_RunCount(self, call->key) > 0) {
+        GbSimulation_Violate(self, "%s had run before \"not run\"", call->key);
+    }
+    if (result->outcome == GB_OUTCOME_ANSWERED &&
+        !is_answer_of_run(self, call->key, result->answer)) {
+        GbSimulation_Violate(self, "%s got bytes that no run gave", call->key);
+    }
+}
