--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build build-sanitize test format format-check lint layers clean
+.PHONY: all deps build build-sanitize test scenarios format format-check lint layers clean
 
 all: build
 
@@ -20,6 +20,9 @@
 	tools/run-tests.sh $(BUILD)
 	tools/run-tests.sh $(BUILD)-sanitize
 
+scenarios: build
+	$(BUILD)/tests/test_scenarios
+
 format:
 	git ls-files '*.c' '*.h' | xargs clang-format -i
 
--- /dev/null
+++ b/tests/support/scenario.c
@@ -0,0 +1,135 @@
+#include "support/scenario.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <string.h>
+
+#define SEED_START 1
+#define MESSAGES_SHOWN 60
+
+/* Last lines of the trace. */
+static const char *
+tail(const struct GbSimulation *simulation)
+{
+    const char *start = simulation->trace->str;
+    const char *at = start + simulation->trace->len;
+    uint32_t lines = 0;
+
+    while (at > start && lines <= MESSAGES_SHOWN) {
+        at--;
+        if (*at == '\n') {
+            lines++;
+        }
+    }
+    return at == start ? at : at + 1;
+}
+
+static GScanner *
+new_scanner(const char *text)
+{
+    GScanner *scanner = g_scanner_new(NULL);
+
+    /* A line is a statement, so its end is a token. */
+    scanner->config->cset_skip_characters = " \t\r";
+    scanner->config->scan_identifier_1char = TRUE;
+    scanner->config->scan_float = FALSE;
+    scanner->config->store_int64 = TRUE;
+    g_scanner_input_text(scanner, text, (guint)strlen(text));
+    return scanner;
+}
+
+static void
+add_word(struct GbScenario *self, const GScanner *scanner, bool is_number)
+{
+    struct GbScenarioWord *word;
+
+    if (self->word_count == GB_SCENARIO_WORDS_MAX) {
+        GbScenario_Fail(self, "too many words");
+        return;
+    }
+    word = &self->words[self->word_count++];
+    word->is_number = is_number;
+    if (is_number) {
+        word->number = (int64_t)scanner->value.v_int64;
+        g_snprintf(word->text, sizeof(word->text), "%" PRIi64, word->number);
+    }
+    else {
+        word->number = 0;
+        g_strlcpy(word->text, scanner->value.v_identifier, sizeof(word->text));
+    }
+}
+
+static void
+end_line(struct GbScenario *self)
+{
+    if (self->word_count > 0) {
+        GbScenario_DoLine(self);
+        self->word_count = 0;
+    }
+    if (self->failure == NULL && self->simulation.violations->len > 0) {
+        GbScenario_Fail(self, "%s",
+                        (char *)self->simulation.violations->pdata[0]);
+    }
+}
+
+void
+GbScenario_Run(struct GbScenario *self, const char *name, const char *text)
+{
+    GScanner *scanner = new_scanner(text);
+    GTokenType token;
+
+    memset(self, 0, sizeof(*self));
+    self->name = name;
+    GbSimulation_Init(&self->simulation, SEED_START, true);
+    do {
+        token = g_scanner_get_next_token(scanner);
+        if (self->word_count == 0) {
+            self->line = scanner->line;
+        }
+        switch ((int)token) {
+        case G_TOKEN_IDENTIFIER:
+            add_word(self, scanner, false);
+            break;
+        case G_TOKEN_INT:
+            add_word(self, scanner, true);
+            break;
+        case G_TOKEN_EOF:
+        case '\n':
+            end_line(self);
+            break;
+        default:
+            GbScenario_Fail(self, "unexpected token");
+            break;
+        }
+    } while (token != G_TOKEN_EOF && self->failure == NULL);
+    if (self->failure == NULL) {
+        GbSimulation_CheckEnd(&self->simulation);
+        end_line(self);
+    }
+    g_scanner_destroy(scanner);
+}
+
+void
+GbScenario_Finish(struct GbScenario *self)
+{
+    GbSimulation_Finish(&self->simulation);
+    g_free(self->failure);
+}
+
+void
+GbScenario_Fail(struct GbScenario *self, const char *format, ...)
+{
+    va_list arguments;
+    char *reason;
+
+    if (self->failure != NULL) {
+        return;
+    }
+    va_start(arguments, format);
+    reason = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    self->failure = g_strdup_printf(
+        "%s:%u: %s (seed %" PRIu64 ")\nlast messages:\n%s", self->name,
+        self->line, reason, self->simulation.seed, tail(&self->simulation));
+    g_free(reason);
+}
