Split the caller by job and find calls by flow id

It is now split: call (submissions, token, end of a call), call_replies (ACCEPTED, NOT_RUN, UNKNOWN), call_transfer (DATA and FETCH), call_timer (repeats). A flow lists its open calls and the caller finds flows by id, so the cost of a datagram does not grow with the open calls.

Decisions that are stated anew on the way: - A call whose submission is no longer waited for (forgotten beyond 8, or cancelled because another was accepted first) is not reported as not run. - An idempotent request that is refused without retry budget waits for its earlier submissions instead of ending at once. - A transfer that is moved gets a new deadline, at most 3 times. Before, a download that had taken longer than its deadline ended at once when its target died. - The stall timer of a transfer starts with the transfer, not with the call. - A transfer that moves cancels the submission that it leaves.

tests/test_simulation and tests/test_scenarios (plain.scenario) pass.

--- /dev/null
+++ b/src/coordination/call.c
@@ -0,0 +1,278 @@
+#include "coordination/call.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+#define REPEAT_START_US INT64_C(100000)
+#define REPEAT_MAX_US INT64_C(1000000)
+/* Added to the deadline for the way there and back. */
+#define GRACE_US INT64_C(1000000)
+/* An agent keeps idle flows for 300 s. */
+#define FLOW_IDLE_US INT64_C(120000000)
+#define JITTER_DIVISOR 4
+/* Transfers that may start again from the beginning. The retry budget alone
+ * does not end a call while others earn. */
+#define RESTARTS_MAX 3
+
+static int64_t
+now(const struct GbCall *self)
+{
+    return GbClock_MonotonicUs(self->caller->clock);
+}
+
+static int64_t
+end_from(const struct GbCall *self, int64_t start_us)
+{
+    return start_us + (int64_t)self->operation->deadline_ms * US_PER_MS +
+           GRACE_US;
+}
+
+static void
+end(struct GbCall *self, struct GbResult *result)
+{
+    struct GbCaller *caller = self->caller;
+    struct GbCallerFlow *flow = self->flow;
+
+    result->elapsed_us = now(self) - self->started_us;
+    result->submissions = self->submissions_made;
+    flow->calls = g_slist_remove(flow->calls, self);
+    if (flow->calls == NULL) {
+        g_hash_table_remove(caller->flows, &flow->id);
+    }
+    self->flow = NULL;
+    GbTimerQueue_Clear(&caller->timers, &self->timer);
+    /* The program may free the flow in here. */
+    caller->port->klass->deliver(caller->port, self->context, result);
+    GbCall_Free(self);
+}
+
+/* The agent need not go on with a submission that is no longer waited for. */
+static void
+cancel_accepted(struct GbCall *self)
+{
+    struct GbMessage cancel;
+
+    GbCall_FillHead(self, &cancel, GB_MESSAGE_CANCEL, self->accepted_id);
+    GbCall_Send(self, &cancel);
+    GbCall_Forget(self, self->accepted_id);
+    self->accepted_id = 0;
+    self->may_have_run = true;
+}
+
+struct GbCall *
+GbCall_New(struct GbCaller *caller, struct GbCallerFlow *flow,
+           const struct GbOperation *operation, struct GbBytes body,
+           void *context)
+{
+    struct GbCall *self = g_new0(struct GbCall, 1);
+
+    self->caller = caller;
+    self->flow = flow;
+    self->operation = operation;
+    self->context = context;
+    self->body = g_memdup2(body.data, body.size_bytes);
+    self->body_bytes = body.size_bytes;
+    self->started_us = now(self);
+    self->end_us = end_from(self, self->started_us);
+    self->progress_us = self->started_us;
+    GbTimer_Init(&self->timer, self);
+    if (flow->calls == NULL) {
+        g_hash_table_insert(caller->flows, &flow->id, flow);
+    }
+    flow->calls = g_slist_prepend(flow->calls, self);
+    return self;
+}
+
+void
+GbCall_Free(struct GbCall *self)
+{
+    GbFetchWindow_Finish(&self->window);
+    g_free(self->body);
+    g_free(self);
+}
+
+int64_t
+GbCall_BackoffUs(struct GbCall *self, uint32_t repeats)
+{
+    int64_t delay_us = MIN(REPEAT_START_US << MIN(repeats, 4U), REPEAT_MAX_US);
+
+    return delay_us -
+           (int64_t)GbRandom_Below(self->caller->random,
+                                   (uint32_t)delay_us / JITTER_DIVISOR);
+}
+
+void
+GbCall_FillHead(const struct GbCall *self, struct GbMessage *message,
+                enum GbMessageKind kind, uint32_t request_id)
+{
+    memset(message, 0, sizeof(*message));
+    message->kind = kind;
+    message->service_id = self->caller->service_id;
+    message->flow_id = self->flow->id;
+    message->request_id = request_id;
+    message->has_token = self->flow->has_token;
+    memcpy(message->sealed_token, self->flow->sealed_token,
+           GB_SEALED_TOKEN_BYTES);
+}
+
+void
+GbCall_Send(struct GbCall *self, const struct GbMessage *message)
+{
+    self->caller->port->klass->send(self->caller->port, message);
+}
+
+uint32_t
+GbCall_LatestId(const struct GbCall *self)
+{
+    return self->submission_count > 0
+               ? self->submissions[self->submission_count - 1]
+               : 0;
+}
+
+bool
+GbCall_IsSubmission(const struct GbCall *self, uint32_t request_id)
+{
+    for (uint32_t i = 0; i < self->submission_count; i++) {
+        if (self->submissions[i] == request_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+GbCall_Forget(struct GbCall *self, uint32_t request_id)
+{
+    for (uint32_t i = 0; i < self->submission_count; i++) {
+        if (self->submissions[i] == request_id) {
+            memmove(&self->submissions[i], &self->submissions[i + 1],
+                    (self->submission_count - i - 1) *
+                        sizeof(self->submissions[0]));
+            self->submission_count--;
+            return;
+        }
+    }
+}
+
+void
+GbCall_Submit(struct GbCall *self)
+{
+    struct GbCallerFlow *flow = self->flow;
+    int64_t now_us = now(self);
+
+    if (flow->has_token && now_us - flow->last_used_us >= FLOW_IDLE_US) {
+        flow->has_token = false;
+    }
+    flow->last_used_us = now_us;
+    if (self->submission_count == GB_SUBMISSIONS_MAX) {
+        GbCall_Forget(self, self->submissions[0]);
+        self->may_have_run |= self->operation->is_idempotent;
+    }
+    self->submissions[self->submission_count++] = ++flow->last_request_id;
+    self->submissions_made++;
+    self->has_token = flow->has_token;
+    memcpy(self->sealed_token, flow->sealed_token, GB_SEALED_TOKEN_BYTES);
+    if (self->has_token) {
+        self->bound_id = GbCall_LatestId(self);
+    }
+    self->state = GB_CALL_SUBMITTED;
+    self->repeats = 0;
+    self->repeat_us = now_us + GbCall_BackoffUs(self, 0);
+    GbCall_SendAgain(self);
+}
+
+void
+GbCall_SendAgain(struct GbCall *self)
+{
+    struct GbMessage message;
+
+    GbCall_FillHead(self, &message, GB_MESSAGE_CALL, GbCall_LatestId(self));
+    message.attempt = self->attempt;
+    message.call.operation_id = self->operation->id;
+    message.call.body.data = self->body;
+    message.call.body.size_bytes = self->body_bytes;
+    self->caller->submissions_made++;
+    GbCall_Send(self, &message);
+}
+
+bool
+GbCall_Move(struct GbCall *self)
+{
+    assert(self->operation->is_idempotent);
+    if ((self->state == GB_CALL_FETCHING && self->restarts == RESTARTS_MAX) ||
+        !GbRetryBudget_Spend(&self->caller->budget)) {
+        return false;
+    }
+    self->caller->retries_made++;
+    if (self->state == GB_CALL_FETCHING) {
+        self->restarts++;
+        self->end_us = end_from(self, now(self));
+    }
+    if (self->accepted_id != 0) {
+        cancel_accepted(self);
+    }
+    GbCall_DropToken(self);
+    self->bound_id = 0;
+    self->attempt++;
+    GbFetchWindow_Finish(&self->window);
+    GbCall_Submit(self);
+    return true;
+}
+
+void
+GbCall_DropToken(struct GbCall *self)
+{
+    struct GbCallerFlow *flow = self->flow;
+
+    if (self->has_token && flow->has_token &&
+        memcmp(flow->sealed_token, self->sealed_token,
+               GB_SEALED_TOKEN_BYTES) == 0) {
+        flow->has_token = false;
+    }
+}
+
+void
+GbCall_SetTimer(struct GbCall *self)
+{
+    int64_t at_us = MIN(self->end_us, self->repeat_us);
+
+    if (self->state == GB_CALL_FETCHING) {
+        at_us = MIN(self->progress_us + GB_CALL_STALL_US,
+                    GbFetchWindow_NextTimerUs(&self->window));
+    }
+    GbTimerQueue_Set(&self->caller->timers, &self->timer, at_us);
+}
+
+void
+GbCall_EndAnswered(struct GbCall *self)
+{
+    struct GbResult result = {.outcome = GB_OUTCOME_ANSWERED};
+
+    result.target_status = self->target_status;
+    result.answer.data = self->window.bytes->data;
+    result.answer.size_bytes = self->window.bytes->len;
+    end(self, &result);
+}
+
+void
+GbCall_EndUnknown(struct GbCall *self, enum GbUnknownReason reason)
+{
+    struct GbResult result = {.outcome = GB_OUTCOME_UNKNOWN};
+
+    result.unknown = reason;
+    end(self, &result);
+}
+
+void
+GbCall_GiveUp(struct GbCall *self, enum GbNotRunReason reason)
+{
+    bool may_have_run = self->operation->is_idempotent
+                            ? self->may_have_run || self->submission_count > 0
+                            : self->bound_id != 0;
+    struct GbResult result = {.outcome = may_have_run ? GB_OUTCOME_UNKNOWN
+                                                      : GB_OUTCOME_NOT_RUN};
+
+    result.not_run = reason;
+    end(self, &result);
+}
--- /dev/null
+++ b/src/coordination/call_replies.h
@@ -0,0 +1,10 @@
+#ifndef GB_COORDINATION_CALL_REPLIES_H
+#define GB_COORDINATION_CALL_REPLIES_H
+
+#include "coordination/call.h"
+
+/* Handles a reply to one of the call's submissions. The call may end. */
+void GbCallReplies_Receive(struct GbCall *call,
+                           const struct GbMessage *message);
+
+#endif
--- a/src/coordination/caller.h
+++ b/src/coordination/caller.h
@@ -13,56 +13,18 @@
 #include "state/random.h"
 #include "state/timer_queue.h"
 
-/* Submissions of one call that may still be replied to. */
-#define GB_SUBMISSIONS_MAX 8
-
 /* Session of a caller with one service. Its requests go to one target while
  * that target takes them. */
 struct GbCallerFlow {
     uint64_t id;
     uint32_t last_request_id;
+    /* For requests to come. Each call keeps the token that it was submitted
+     * with, because another call may bind the session elsewhere meanwhile. */
     bool has_token;
     uint8_t sealed_token[GB_SEALED_TOKEN_BYTES];
     int64_t last_used_us;
-    uint32_t open_calls;
-};
-
-enum GbCallState {
-    /* No agent has taken the request yet. */
-    GB_CALL_SUBMITTED,
-    /* An agent has the request. */
-    GB_CALL_ACCEPTED,
-    /* The answer is being transferred. */
-    GB_CALL_FETCHING
-};
-
-struct GbCaller;
-
-struct GbCall {
-    struct GbCaller *caller;
-    struct GbCallerFlow *flow;
-    const struct GbOperation *operation;
-    void *context;
-    uint8_t *body;
-    uint32_t body_bytes;
-    enum GbCallState state;
-    int64_t started_us;
-    int64_t progress_us;
-    /* Request ids that may still be replied to, latest last. */
-    uint32_t submissions[GB_SUBMISSIONS_MAX];
-    uint32_t submission_count;
-    uint32_t submissions_made;
-    /* Submission under a token that was not refused: it may have run. */
-    uint32_t bound_id;
-    /* Submission whose answer is being transferred. */
-    uint32_t accepted_id;
-    uint8_t attempt;
-    uint32_t repeats;
-    uint32_t refusals;
-    int64_t repeat_us;
-    uint16_t target_status;
-    struct GbFetchWindow window;
-    struct GbTimer timer;
+    /* Struct GbCall that have not ended. */
+    GSList *calls;
 };
 
 /* Caller's side of one service. It is the only place that moves a request
@@ -74,8 +36,8 @@
     uint32_t service_id;
     struct GbRetryBudget budget;
     struct GbTimerQueue timers;
-    /* Set of struct GbCall. */
-    GHashTable *calls;
+    /* Struct GbCallerFlow with open calls, by flow id. */
+    GHashTable *flows;
     uint64_t calls_made;
     uint64_t submissions_made;
     uint64_t retries_made;
