Keep each call with the token that it was submitted with

A repeat of a CALL took the token of its session. When another request of the session was refused and bound the session elsewhere meanwhile, the repeat went to the new agent, which had never seen the request and ran it a second time. FETCH and CANCEL went astray in the same way.

--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -111,9 +111,8 @@
     message->service_id = self->caller->service_id;
     message->flow_id = self->flow->id;
     message->request_id = request_id;
-    message->has_token = self->flow->has_token;
-    memcpy(message->sealed_token, self->flow->sealed_token,
-           GB_SEALED_TOKEN_BYTES);
+    message->has_token = self->has_token;
+    memcpy(message->sealed_token, self->sealed_token, GB_SEALED_TOKEN_BYTES);
 }
 
 void
--- a/tests/support/scenario_verbs.c
+++ b/tests/support/scenario_verbs.c
@@ -132,6 +132,10 @@
         if (made == NULL) {
             GbScenario_Fail(self, "%s exists already", word(self, 2));
         }
+        else if (made->role == GB_SIM_CALLER && after(self, "budget") > 0) {
+            made->caller.core.budget.percent =
+                (uint32_t)number_after(self, "budget", 0);
+        }
         return;
     }
     GbScenario_Fail(self, "no role %s", word(self, 1));
