Keep a leaving agent while its tokens may be used

An agent that drained exited as soon as nothing was queued, running or waiting to be fetched.

A leaving agent now stays until 3 s after the last use of any flow (GB_TOKEN_IDLE_US and a margin of 1 s).

--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -6,8 +6,10 @@
 #include "coordination/delivery.h"
 #include "coordination/reply.h"
 
-/* A caller binds anew after 120 s without use, well before this. */
+/* Far longer than callers use a token. */
 #define FLOW_IDLE_US INT64_C(300000000)
+/* For the way of the last datagram that a caller sends under a token. */
+#define TOKEN_MARGIN_US INT64_C(1000000)
 
 static bool
 is_for_this_agent(struct GbAgent *self, const struct GbMessage *message)
@@ -201,6 +203,17 @@
     }
 }
 
+/* Whether a caller may still send a new request under a token that it holds.
+ */
+static bool
+is_token_in_use(const struct GbAgent *self)
+{
+    return GbFlowTable_Count(&self->flows) > 0 &&
+           GbClock_MonotonicUs(self->clock) <
+               GbFlowTable_LastUseUs(&self->flows) + GB_TOKEN_IDLE_US +
+                   TOKEN_MARGIN_US;
+}
+
 bool
 GbAgent_IsDrained(const struct GbAgent *self)
 {
@@ -209,6 +222,7 @@
                            : 0;
 
     return self->is_draining && self->request_count == 0 &&
+           !is_token_in_use(self) &&
            GbClock_MonotonicUs(self->clock) >=
                self->drain_started_us + limit_us;
 }
--- a/src/state/flow_table.c
+++ b/src/state/flow_table.c
@@ -76,6 +76,15 @@
     return self->by_use.head != NULL ? self->by_use.head->data : NULL;
 }
 
+int64_t
+GbFlowTable_LastUseUs(const struct GbFlowTable *self)
+{
+    const struct GbFlow *newest =
+        self->by_use.tail != NULL ? self->by_use.tail->data : NULL;
+
+    return newest != NULL ? newest->last_used_us : 0;
+}
+
 void
 GbFlowTable_Remove(struct GbFlowTable *self, struct GbFlow *flow)
 {
--- a/src/state/flow_table.h
+++ b/src/state/flow_table.h
@@ -41,6 +41,9 @@
 /* Least recently used flow; NULL if the table is empty. */
 struct GbFlow *GbFlowTable_Oldest(const struct GbFlowTable *self);
 
+/* Time of the last use of any flow; 0 if the table is empty. */
+int64_t GbFlowTable_LastUseUs(const struct GbFlowTable *self);
+
 /* Removes and frees a flow that holds no requests. */
 void GbFlowTable_Remove(struct GbFlowTable *self, struct GbFlow *flow);
 
--- a/src/state/message.h
+++ b/src/state/message.h
@@ -19,6 +19,11 @@
 /* Encoded token: 42 bytes and a hash of 16. */
 #define GB_SEALED_TOKEN_BYTES 58
 
+/* Time without use after which a caller binds a session anew instead of using
+ * its token. An agent that leaves stays for longer than that after the last
+ * use, so that no token leads to an agent that has left as planned. */
+#define GB_TOKEN_IDLE_US INT64_C(2000000)
+
 #define GB_TOTAL_UNKNOWN UINT64_MAX
 
 enum GbMessageKind {
