Bind a session anew after 2 s without use

A caller used the token of a session for 120 s after its last use. If the agent left in between, as planned, the request went nowhere and a non-idempotent one was reported as unknown. Binding again costs one round trip and leads to the same agent while that is live, since rank 0 depends only on the flow id.

--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -8,8 +8,6 @@
 #define REPEAT_MAX_US INT64_C(1000000)
 /* Added to the deadline for the way there and back. */
 #define GRACE_US INT64_C(1000000)
-/* An agent keeps idle flows for 300 s. */
-#define FLOW_IDLE_US INT64_C(120000000)
 #define JITTER_DIVISOR 4
 /* Transfers that may start again from the beginning. The retry budget alone
  * does not end a call while others earn. */
@@ -160,7 +158,7 @@
     struct GbCallerFlow *flow = self->flow;
     int64_t now_us = now(self);
 
-    if (flow->has_token && now_us - flow->last_used_us >= FLOW_IDLE_US) {
+    if (flow->has_token && now_us - flow->last_used_us >= GB_TOKEN_IDLE_US) {
         flow->has_token = false;
     }
     flow->last_used_us = now_us;
