Add the fault matrix

Written scenarios hold faults only at the moments that somebody thought of. tests/test_fault_matrix records the steps of a call without faults (messages before and after they are sent and received, requests given to the target, run and finished, the outcome) and then runs every fault at every step, on each process that it can strike there. Faults and calls are two tables; the cells are generated. After each cell the simulation's checks must hold, the call and four later probes must end, and where one fault alone must not matter (loss, duplicate, delay, platform, clock, document, planned stop, another balancer) the call must be answered.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build build-sanitize test scenarios format format-check lint layers clean
+.PHONY: all deps build build-sanitize test scenarios fault-matrix format format-check lint layers clean
 
 all: build
 
@@ -23,6 +23,9 @@
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
+fault-matrix: build
+	$(BUILD)/tests/test_fault_matrix
+
 format:
 	git ls-files '*.c' '*.h' | xargs clang-format -i
 
--- /dev/null
+++ b/tests/support/matrix.c
@@ -0,0 +1,219 @@
+#include "support/matrix.h"
+
+#include <string.h>
+
+#define SETTLE_US INT64_C(1000000)
+/* Longest time that a call may take with all repeats and moves. */
+#define CALL_US INT64_C(60000000)
+/* After a fault: beyond the flow time of a leaving agent. */
+#define PROBE_US INT64_C(3000000)
+/* For datagrams that are still delayed. */
+#define REST_US INT64_C(5000000)
+#define PACK_BYTES 5000
+#define FILLERS 8
+
+/* Counts steps and injects the faults of a cell. */
+struct Injector {
+    struct GbSimObserver super;
+    struct GbSimulation *simulation;
+    const struct GbMatrixCell *cell;
+    uint32_t step_count;
+    uint32_t injected;
+    struct GbSimProcess *last[GB_MATRIX_SUBJECT_END];
+    /* Roles of what was struck, for what is demanded. */
+    bool is_caller_struck;
+    bool is_balancer_struck;
+    /* Struct GbMatrixStep; NULL if not recorded. */
+    GArray *steps;
+};
+
+static void
+record(struct Injector *self, enum GbSimStep step)
+{
+    struct GbMatrixStep recorded = {.step = step};
+
+    g_strlcpy(recorded.process, self->last[GB_MATRIX_SELF]->node.name,
+              sizeof(recorded.process));
+    for (int i = 0; i < GB_MATRIX_SUBJECT_END; i++) {
+        const struct GbSimProcess *subject = self->last[i];
+        bool is_repeated =
+            i != GB_MATRIX_SELF && subject == self->last[GB_MATRIX_SELF];
+
+        if (subject != NULL && !is_repeated) {
+            g_strlcpy(recorded.subjects[i], subject->node.name,
+                      sizeof(recorded.subjects[i]));
+        }
+    }
+    g_array_append_val(self->steps, recorded);
+}
+
+static void
+inject(struct Injector *self, const struct GbMatrixStrike *strike)
+{
+    struct GbSimProcess *subject = self->last[strike->subject];
+
+    if (subject == NULL) {
+        subject = self->last[GB_MATRIX_SELF];
+    }
+    self->injected++;
+    self->is_caller_struck |= subject->role == GB_SIM_CALLER;
+    self->is_balancer_struck |= subject->role == GB_SIM_BALANCER;
+    GbSimulation_Trace(self->simulation, "FAULT %s at %s", strike->fault->name,
+                       subject->node.name);
+    strike->fault->inject(self->simulation, subject);
+}
+
+static void
+injector_step(struct GbSimObserver *observer, enum GbSimStep step,
+              struct GbSimProcess *process, struct GbBytes datagram)
+{
+    struct Injector *self = (struct Injector *)observer;
+    uint32_t index = self->step_count++;
+
+    (void)datagram;
+    self->last[GB_MATRIX_SELF] = process;
+    if (process->role == GB_SIM_AGENT) {
+        self->last[GB_MATRIX_AGENT] = process;
+    }
+    else if (process->role == GB_SIM_BALANCER) {
+        self->last[GB_MATRIX_BALANCER] = process;
+    }
+    if (self->steps != NULL) {
+        record(self, step);
+    }
+    for (uint32_t i = 0; self->cell != NULL && i < self->cell->strike_count;
+         i++) {
+        if (self->cell->strikes[i].step == index) {
+            inject(self, &self->cell->strikes[i]);
+        }
+    }
+}
+
+static const struct GbSimObserverClass injector_class = {
+    .step = injector_step,
+};
+
+static void
+start_all(struct GbSimulation *simulation)
+{
+    /* The fabric sends to a balancer that is paused as often as to any other,
+     * so that with few of them most repeats may be lost. */
+    static const char *const balancers[] = {"b1", "b2", "b3", "b4"};
+    static const char *const agents[] = {"a1", "a2"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(balancers); i++) {
+        GbSimulation_Start(simulation, GB_SIM_BALANCER, balancers[i], NULL);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(agents); i++) {
+        GbSimulation_Start(simulation, GB_SIM_AGENT, agents[i], "desk")
+            ->agent.target.pack_bytes = PACK_BYTES;
+    }
+    GbSimulation_Start(simulation, GB_SIM_AGENT, "d1", "drawings");
+    GbSimulation_Start(simulation, GB_SIM_CALLER, "c1", "desk");
+    GbSimulation_Start(simulation, GB_SIM_CALLER, "c2", "desk");
+    GbSimulation_RunUntil(simulation, SETTLE_US);
+}
+
+static void
+call_new_sessions(struct GbSimulation *simulation, const char *operation,
+                  const char *label, uint32_t count)
+{
+    struct GbSimProcess *caller = GbSimulation_Find(simulation, "c2");
+
+    for (uint32_t i = 0; i < count; i++) {
+        char session[GB_SIM_NAME_BYTES];
+
+        g_snprintf(session, sizeof(session), "%s-%u", label, i);
+        GbSimulation_Call(simulation, caller, session, operation, label);
+    }
+}
+
+/* Runs the call of a cell up to its end. */
+static struct GbSimCall *
+run_call(struct GbSimulation *simulation, struct Injector *injector,
+         const struct GbMatrixCall *what)
+{
+    struct GbSimProcess *caller;
+    struct GbSimCall *call;
+
+    start_all(simulation);
+    caller = GbSimulation_Find(simulation, "c1");
+    if (what->is_bound) {
+        GbSimulation_Call(simulation, caller, "s", "check", "before");
+        GbSimulation_RunCalls(simulation, simulation->now_us + CALL_US);
+    }
+    if (what->is_queued) {
+        call_new_sessions(simulation, "check", "filler", FILLERS);
+        GbSimulation_RunUntil(simulation, simulation->now_us + 12000);
+    }
+    simulation->observer = &injector->super;
+    call = GbSimulation_Call(simulation, caller, "s", what->operation, "call");
+    GbSimulation_RunCalls(simulation, simulation->now_us + CALL_US);
+    return call;
+}
+
+static bool
+must_be_answered(const struct GbMatrixCell *cell,
+                 const struct Injector *injector)
+{
+    if (injector->is_caller_struck && cell->strikes[0].fault->inject != NULL &&
+        cell->strikes[0].fault->has_subject) {
+        return false;
+    }
+    switch (cell->strikes[0].fault->demand) {
+    case GB_MATRIX_ANSWERED:
+        return true;
+    case GB_MATRIX_ANSWERED_BY_OTHER_BALANCER:
+        return injector->is_balancer_struck;
+    default:
+        return false;
+    }
+}
+
+GArray *
+GbMatrix_Record(const struct GbMatrixCall *call, uint64_t seed)
+{
+    struct GbSimulation simulation;
+    struct Injector injector = {.super = {&injector_class}};
+
+    injector.steps = g_array_new(FALSE, FALSE, sizeof(struct GbMatrixStep));
+    GbSimulation_Init(&simulation, seed, false);
+    injector.simulation = &simulation;
+    run_call(&simulation, &injector, call);
+    GbSimulation_Finish(&simulation);
+    return injector.steps;
+}
+
+char *
+GbMatrix_Run(const struct GbMatrixCell *cell, uint64_t seed, bool keeps_trace)
+{
+    struct GbSimulation simulation;
+    struct Injector injector = {.super = {&injector_class}, .cell = cell};
+    struct GbSimCall *call;
+    char *failure = NULL;
+
+    GbSimulation_Init(&simulation, seed, keeps_trace);
+    injector.simulation = &simulation;
+    call = run_call(&simulation, &injector, cell->call);
+    if (cell->strike_count == 1 && injector.injected == 0) {
+        GbSimulation_Violate(&simulation, "the step did not come");
+    }
+    if (cell->strike_count == 1 && must_be_answered(cell, &injector) &&
+        call->outcome != GB_OUTCOME_ANSWERED && call->deliveries > 0) {
+        GbSimulation_Violate(&simulation, "%s was not answered", call->key);
+    }
+    /* A leaving target must get none of these. */
+    GbSimulation_RunUntil(&simulation, simulation.now_us + PROBE_US);
+    call_new_sessions(&simulation, "check", "probe", 2);
+    call_new_sessions(&simulation, "look", "probe", 2);
+    GbSimulation_RunCalls(&simulation, simulation.now_us + CALL_US);
+    GbSimulation_RunUntil(&simulation, simulation.now_us + REST_US);
+    GbSimulation_CheckEnd(&simulation);
+    if (simulation.violations->len > 0) {
+        failure = g_strconcat(
+            (char *)simulation.violations->pdata[0], keeps_trace ? "\n" : NULL,
+            keeps_trace ? simulation.trace->str : NULL, NULL);
+    }
+    GbSimulation_Finish(&simulation);
+    return failure;
+}
--- a/tests/support/simulation.c
+++ b/tests/support/simulation.c
@@ -8,10 +8,11 @@
 /* Time for messages on their way when an instance begins to leave. */
 #define DRAIN_MARGIN_US INT64_C(100000)
 
-enum Later { LATER_START, LATER_RESUME };
+enum Later { LATER_START, LATER_RESUME, LATER_HEAL, LATER_OPEN_TARGET };
 
 struct LaterEvent {
     struct GbSimEvent super;
+    struct GbSimulation *simulation;
     struct GbSimProcess *process;
     enum Later what;
 };
@@ -21,11 +22,20 @@
 {
     struct LaterEvent *self = (struct LaterEvent *)event;
 
-    if (self->what == LATER_START) {
+    switch (self->what) {
+    case LATER_START:
         GbSimProcess_Start(self->process);
-    }
-    else {
+        break;
+    case LATER_RESUME:
         GbSimProcess_Resume(self->process);
+        break;
+    case LATER_HEAL:
+        GbSimNetwork_Heal(&self->simulation->network, "", "");
+        break;
+    case LATER_OPEN_TARGET:
+        self->process->agent.target.is_closed = false;
+        self->process->agent.target.is_shedding = false;
+        break;
     }
 }
 
@@ -47,6 +57,7 @@
     struct LaterEvent *event = g_new0(struct LaterEvent, 1);
 
     event->super.klass = &later_event_class;
+    event->simulation = self;
     event->process = process;
     event->what = what;
     GbSimEvents_Add(&self->events, &event->super, self->now_us + delay_us);
@@ -238,6 +249,19 @@
     add_later(self, process, LATER_RESUME, delay_us);
 }
 
+void
+GbSimulation_HealLater(struct GbSimulation *self, int64_t delay_us)
+{
+    add_later(self, NULL, LATER_HEAL, delay_us);
+}
+
+void
+GbSimulation_OpenTargetLater(struct GbSimulation *self,
+                             struct GbSimProcess *agent, int64_t delay_us)
+{
+    add_later(self, agent, LATER_OPEN_TARGET, delay_us);
+}
+
 struct GbSimProcess *
 GbSimulation_Find(const struct GbSimulation *self, const char *name)
 {
--- a/tests/support/simulation.h
+++ b/tests/support/simulation.h
@@ -104,6 +104,14 @@
 void GbSimulation_ResumeLater(struct GbSimulation *self,
                               struct GbSimProcess *process, int64_t delay_us);
 
+/* Removes all faults of the network after delay_us. */
+void GbSimulation_HealLater(struct GbSimulation *self, int64_t delay_us);
+
+/* Lets a target take work again after delay_us. */
+void GbSimulation_OpenTargetLater(struct GbSimulation *self,
+                                  struct GbSimProcess *agent,
+                                  int64_t delay_us);
+
 /* Process by name; NULL if there is none. */
 struct GbSimProcess *GbSimulation_Find(const struct GbSimulation *self,
                                        const char *name);
--- /dev/null
+++ b/tests/test_fault_matrix.c
@@ -0,0 +1,181 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/matrix.h"
+
+#define SEED 2026
+#define PAIR_SEED 4242
+#define PAIRS 3000
+#define FAILURES_SHOWN 10
+
+static const struct GbMatrixCall calls[] = {
+    {"non-idempotent call", "check", false, false},
+    {"non-idempotent call, queued", "check", true, false},
+    {"non-idempotent call, bound", "check", false, true},
+    {"idempotent call", "look", false, false},
+    {"idempotent call, queued", "look", true, false},
+    {"idempotent call, bound", "look", false, true},
+    {"download", "pack", false, false},
+};
+
+static const char *const step_names[GB_SIM_STEP_END] = {
+    "before send",   "after send",          "before receive",
+    "after receive", "before start",        "after start",
+    "run",           "before target event", "after target event",
+    "delivery",
+};
+
+struct Tally {
+    uint32_t cells;
+    uint32_t passed;
+};
+
+static void
+describe(const struct GbMatrixCell *cell, const GArray *steps, GString *line)
+{
+    g_string_append(line, cell->call->name);
+    for (uint32_t i = 0; i < cell->strike_count; i++) {
+        const struct GbMatrixStrike *strike = &cell->strikes[i];
+        const struct GbMatrixStep *step =
+            &g_array_index(steps, struct GbMatrixStep, strike->step);
+
+        g_string_append_printf(line, "; %s %s at step %u (%s, %s)",
+                               step->subjects[strike->subject],
+                               strike->fault->name, strike->step,
+                               step_names[step->step], step->process);
+    }
+}
+
+static void
+run_cell(const struct GbMatrixCell *cell, const GArray *steps, uint64_t seed,
+         struct Tally *tally, uint32_t *shown)
+{
+    char *failure = GbMatrix_Run(cell, seed, false);
+    GString *line;
+
+    tally->cells++;
+    if (failure == NULL) {
+        tally->passed++;
+        return;
+    }
+    g_test_fail();
+    if ((*shown)++ < FAILURES_SHOWN) {
+        line = g_string_new(NULL);
+        describe(cell, steps, line);
+        g_printerr("FAILED seed %" PRIu64 ": %s: %s\n", seed, line->str,
+                   failure);
+        g_string_free(line, TRUE);
+    }
+    if (*shown == 1) {
+        char *trace = GbMatrix_Run(cell, seed, true);
+
+        g_printerr("messages of the first failure:\n%s\n", trace);
+        g_free(trace);
+    }
+    g_free(failure);
+}
+
+/* Every fault at every step, on every process that it can strike there. */
+static void
+run_steps(const struct GbMatrixCall *call, const GArray *steps,
+          struct Tally tallies[], uint32_t *shown)
+{
+    for (uint32_t fault = 0; fault < GbMatrix_FaultCount; fault++) {
+        for (uint32_t step = 0; step < steps->len; step++) {
+            const struct GbMatrixStep *recorded =
+                &g_array_index(steps, struct GbMatrixStep, step);
+
+            for (int subject = 0; subject < GB_MATRIX_SUBJECT_END; subject++) {
+                struct GbMatrixCell cell = {.call = call, .strike_count = 1};
+
+                if (recorded->subjects[subject][0] == '\0' ||
+                    (subject != GB_MATRIX_SELF &&
+                     !GbMatrix_Faults[fault].has_subject)) {
+                    continue;
+                }
+                cell.strikes[0].step = step;
+                cell.strikes[0].subject = (enum GbMatrixSubject)subject;
+                cell.strikes[0].fault = &GbMatrix_Faults[fault];
+                run_cell(&cell, steps, SEED, &tallies[fault], shown);
+            }
+        }
+    }
+}
+
+/* Guards against broken invariants at moments that no written scenario
+ * names. */
+static void
+test_every_step(void)
+{
+    struct Tally *tallies = g_new0(struct Tally, GbMatrix_FaultCount);
+    struct Tally all = {0, 0};
+    uint32_t shown = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        GArray *steps = GbMatrix_Record(&calls[i], SEED);
+
+        printf("# %-30s %4u steps\n", calls[i].name, steps->len);
+        run_steps(&calls[i], steps, tallies, &shown);
+        g_array_free(steps, TRUE);
+    }
+    for (uint32_t i = 0; i < GbMatrix_FaultCount; i++) {
+        printf("# %-36s %6u cells %6u passed\n", GbMatrix_Faults[i].name,
+               tallies[i].cells, tallies[i].passed);
+        all.cells += tallies[i].cells;
+        all.passed += tallies[i].passed;
+    }
+    printf("# %-36s %6u cells %6u passed (seed %d)\n", "all", all.cells,
+           all.passed, SEED);
+    g_free(tallies);
+}
+
+static struct GbMatrixStrike
+random_strike(struct GbRandom *random, const GArray *steps)
+{
+    struct GbMatrixStrike strike;
+
+    strike.step = GbRandom_Below(random, steps->len);
+    strike.subject =
+        (enum GbMatrixSubject)GbRandom_Below(random, GB_MATRIX_SUBJECT_END);
+    strike.fault =
+        &GbMatrix_Faults[GbRandom_Below(random, GbMatrix_FaultCount)];
+    return strike;
+}
+
+/* Guards against invariants that hold under each fault alone only. */
+static void
+test_pairs(void)
+{
+    GArray *steps[G_N_ELEMENTS(calls)];
+    struct GbSeededRandom random;
+    struct Tally tally = {0, 0};
+    uint32_t shown = 0;
+
+    GbSeededRandom_Init(&random, PAIR_SEED);
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        steps[i] = GbMatrix_Record(&calls[i], SEED);
+    }
+    for (uint32_t i = 0; i < PAIRS; i++) {
+        uint32_t at = GbRandom_Below(&random.super, G_N_ELEMENTS(calls));
+        struct GbMatrixCell cell = {.call = &calls[at], .strike_count = 2};
+
+        cell.strikes[0] = random_strike(&random.super, steps[at]);
+        cell.strikes[1] = random_strike(&random.super, steps[at]);
+        run_cell(&cell, steps[at], SEED, &tally, &shown);
+    }
+    printf("# pairs of faults %u cells %u passed (seed %d)\n", tally.cells,
+           tally.passed, PAIR_SEED);
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        g_array_free(steps[i], TRUE);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/fault-matrix/every-step", test_every_step);
+    g_test_add_func("/fault-matrix/pairs", test_pairs);
+    return g_test_run();
+}
