--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -13,6 +13,18 @@
     void (*decode)(struct GbReader *reader, struct GbMessage *message);
 };
 
+/* Value of an enumeration that starts at 1 and stops before end. */
+static uint32_t
+take_enum(struct GbReader *reader, uint32_t end)
+{
+    uint32_t value = (uint32_t)GbReader_Uint(reader, end - 1);
+
+    if (value == 0) {
+        reader->is_malformed = true;
+    }
+    return value;
+}
+
 static void
 encode_call(struct GbWriter *writer, const struct GbMessage *message)
 {
@@ -69,7 +81,7 @@
 decode_accepted(struct GbReader *reader, struct GbMessage *message)
 {
     message->progress =
-        (enum GbRequestProgress)GbReader_Uint(reader, GB_PROGRESS_END - 1);
+        (enum GbRequestProgress)take_enum(reader, GB_PROGRESS_END);
 }
 
 static void
@@ -106,7 +118,7 @@
 decode_not_run(struct GbReader *reader, struct GbMessage *message)
 {
     message->not_run =
-        (enum GbNotRunReason)GbReader_Uint(reader, GB_NOT_RUN_REASON_END - 1);
+        (enum GbNotRunReason)take_enum(reader, GB_NOT_RUN_REASON_END);
 }
 
 static void
@@ -119,7 +131,7 @@
 decode_unknown(struct GbReader *reader, struct GbMessage *message)
 {
     message->unknown =
-        (enum GbUnknownReason)GbReader_Uint(reader, GB_UNKNOWN_REASON_END - 1);
+        (enum GbUnknownReason)take_enum(reader, GB_UNKNOWN_REASON_END);
 }
 
 static void
@@ -322,13 +334,13 @@
 
     GbReader_Init(&reader, data, size_bytes);
     message->kind =
-        (enum GbMessageKind)GbReader_Uint(&reader, GB_MESSAGE_KIND_END - 1);
+        (enum GbMessageKind)take_enum(&reader, GB_MESSAGE_KIND_END);
     message->service_id = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
     message->flow_id = GbReader_Uint(&reader, UINT64_MAX);
     message->request_id = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
     message->attempt = (uint8_t)GbReader_Uint(&reader, UINT8_MAX);
     sealed = GbReader_OptionalBytes(&reader, GB_SEALED_TOKEN_BYTES);
-    if (reader.is_malformed || message->kind < GB_MESSAGE_CALL) {
+    if (reader.is_malformed) {
         return GB_PROTOCOL_MALFORMED;
     }
     kind_codecs[message->kind].decode(&reader, message);
--- /dev/null
+++ b/tests/test_keys.c
@@ -0,0 +1,163 @@
+#include "protocol/keys.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "support/sample_messages.h"
+
+struct HexCase {
+    const char *name;
+    const char *hex;
+    bool is_valid;
+};
+
+static const struct HexCase hex_cases[] = {
+    {"lower case", "000102030405060708090a0b0c0d0e0f", true},
+    {"upper case", "000102030405060708090A0B0C0D0E0F", true},
+    {"empty", "", false},
+    {"one digit short", "000102030405060708090a0b0c0d0e0", false},
+    {"one byte short", "000102030405060708090a0b0c0d0e", false},
+    {"one byte long", "000102030405060708090a0b0c0d0e0f10", false},
+    {"not hexadecimal", "000102030405060708090a0b0c0d0e0g", false},
+    {"separator", "00:0102030405060708090a0b0c0d0e0", false},
+    {"space", " 000102030405060708090a0b0c0d0e0", false},
+};
+
+/* Guards against a mistyped key that is taken in part. */
+static void
+test_parse_hex(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hex_cases); i++) {
+        uint8_t key[GB_KEY_BYTES];
+
+        g_test_message("%s", hex_cases[i].name);
+        g_assert_true(GbKeys_ParseHex(key, hex_cases[i].hex) ==
+                      hex_cases[i].is_valid);
+        g_assert_true(!hex_cases[i].is_valid || (key[0] == 0 && key[15] == 15));
+    }
+}
+
+struct ChangeCase {
+    const char *name;
+    /* First bytes of the keys of who signs and who checks; 0 is none. */
+    uint8_t sign_current;
+    uint8_t check_current;
+    uint8_t check_previous;
+    bool is_valid;
+};
+
+static const struct ChangeCase change_cases[] = {
+    {"before a change", 1, 1, 0, true},
+    {"only the signer changed", 2, 1, 0, false},
+    {"both know the next key, signer first", 2, 1, 2, true},
+    {"checker first", 1, 2, 1, true},
+    {"after the change", 2, 2, 1, true},
+    {"two changes behind", 1, 3, 2, false},
+    {"zero key is not a previous key", 0, 1, 0, false},
+};
+
+static void
+keys_of(struct GbKeys *keys, uint8_t current, uint8_t previous)
+{
+    memset(keys, 0, sizeof(*keys));
+    keys->current[0] = current;
+    keys->previous[0] = previous;
+    keys->has_previous = previous != 0;
+}
+
+/* Guards against a key change that breaks flows, and against keys that stay
+ * valid after two changes. */
+static void
+test_key_change(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(change_cases); i++) {
+        const struct ChangeCase *row = &change_cases[i];
+        static const uint8_t frame[] = "frame";
+        uint8_t sealed[GB_SEALED_TOKEN_BYTES];
+        uint8_t tag[GB_TAG_BYTES];
+        struct GbKeys sign;
+        struct GbKeys check;
+        struct GbToken token;
+        struct GbToken opened;
+
+        g_test_message("%s", row->name);
+        keys_of(&sign, row->sign_current, 0);
+        keys_of(&check, row->check_current, row->check_previous);
+        sample_token(&token);
+        GbKeys_SealToken(&sign, &token, sealed);
+        g_assert_true(GbKeys_OpenToken(&check, sealed, &opened) ==
+                      row->is_valid);
+        g_assert_true(!row->is_valid || is_token_equal(&token, &opened));
+        g_assert_true(GbKeys_IsPathValid(&check, &token.agent,
+                                         GbKeys_PathTag(&sign, &token.agent)) ==
+                      row->is_valid);
+        GbKeys_FrameTag(&sign, frame, sizeof(frame), tag);
+        g_assert_true(GbKeys_IsFrameValid(&check, frame, sizeof(frame), tag) ==
+                      row->is_valid);
+    }
+}
+
+/* Guards against a token or frame of which some bit is not covered by the
+ * hash. */
+static void
+test_every_bit(void)
+{
+    uint8_t sealed[GB_SEALED_TOKEN_BYTES];
+    struct GbKeys keys;
+    struct GbToken token;
+
+    sample_keys(&keys);
+    keys.has_previous = true;
+    sample_token(&token);
+    GbKeys_SealToken(&keys, &token, sealed);
+    for (uint32_t bit = 0; bit < 8 * GB_SEALED_TOKEN_BYTES; bit++) {
+        sealed[bit / 8] ^= (uint8_t)(1U << bit % 8);
+        g_assert_false(GbKeys_OpenToken(&keys, sealed, &token));
+        sealed[bit / 8] ^= (uint8_t)(1U << bit % 8);
+    }
+    g_assert_true(GbKeys_OpenToken(&keys, sealed, &token));
+}
+
+struct PathCase {
+    const char *name;
+    struct GbAddress address;
+    uint64_t tag_change;
+    bool is_valid;
+};
+
+static const struct PathCase path_cases[] = {
+    {"same", {0x0a000001, 4000}, 0, true},
+    {"other port", {0x0a000001, 4001}, 0, false},
+    {"other host", {0x0a000002, 4000}, 0, false},
+    {"low bit of tag", {0x0a000001, 4000}, 1, false},
+    {"high bit of tag", {0x0a000001, 4000}, UINT64_C(1) << 63, false},
+};
+
+/* Guards against a balancer that can be made to send to any address. */
+static void
+test_path(void)
+{
+    static const struct GbAddress caller = {0x0a000001, 4000};
+    struct GbKeys keys;
+
+    sample_keys(&keys);
+    for (size_t i = 0; i < G_N_ELEMENTS(path_cases); i++) {
+        const struct PathCase *row = &path_cases[i];
+        uint64_t tag = GbKeys_PathTag(&keys, &caller) ^ row->tag_change;
+
+        g_test_message("%s", row->name);
+        g_assert_true(GbKeys_IsPathValid(&keys, &row->address, tag) ==
+                      row->is_valid);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/keys/parse-hex", test_parse_hex);
+    g_test_add_func("/keys/change", test_key_change);
+    g_test_add_func("/keys/every-bit", test_every_bit);
+    g_test_add_func("/keys/path", test_path);
+    return g_test_run();
+}
