--- a/src/coordination/suspicion.c
+++ b/src/coordination/suspicion.c
@@ -13,6 +13,8 @@
     int64_t first_unanswered_us;
     int64_t suspect_until_us;
     int64_t period_us;
+    /* Generation of the last list that names the instance. */
+    uint32_t generation;
 };
 
 static struct Entry *
@@ -35,11 +37,20 @@
     return entry;
 }
 
+static gboolean
+is_unlisted(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    return ((const struct Entry *)value)->generation !=
+           *(const uint32_t *)context;
+}
+
 void
 GbSuspicion_Init(struct GbSuspicion *self)
 {
     self->by_instance =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    self->generation = 0;
 }
 
 void
@@ -89,3 +100,26 @@
 
     return entry != NULL && now_us < entry->suspect_until_us;
 }
+
+void
+GbSuspicion_KeepListed(struct GbSuspicion *self,
+                       const struct GbInstanceList *list)
+{
+    /* Marks first, so that the cost is one look-up an instance. */
+    self->generation++;
+    for (uint32_t i = 0; i < list->count; i++) {
+        struct Entry *entry = find(self, list->instances[i].id);
+
+        if (entry != NULL) {
+            entry->generation = self->generation;
+        }
+    }
+    g_hash_table_foreach_remove(self->by_instance, is_unlisted,
+                                &self->generation);
+}
+
+uint32_t
+GbSuspicion_Count(const struct GbSuspicion *self)
+{
+    return g_hash_table_size(self->by_instance);
+}
--- a/src/coordination/suspicion.h
+++ b/src/coordination/suspicion.h
@@ -5,10 +5,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "state/instance_list.h"
+
 /* What a balancer task has seen itself of each instance: which ones take
  * datagrams and stay silent. One entry an instance, none a flow. */
 struct GbSuspicion {
     GHashTable *by_instance;
+    /* Counts the calls of GbSuspicion_KeepListed. */
+    uint32_t generation;
 };
 
 void GbSuspicion_Init(struct GbSuspicion *self);
@@ -20,6 +24,13 @@
 bool GbSuspicion_Sent(struct GbSuspicion *self, uint64_t instance_id,
                       int64_t now_us);
 
+/* Forgets the instances that the list does not name. */
+void GbSuspicion_KeepListed(struct GbSuspicion *self,
+                            const struct GbInstanceList *list);
+
+/* Instances that are remembered. */
+uint32_t GbSuspicion_Count(const struct GbSuspicion *self);
+
 /* The instance has answered: it is not suspect. */
 void GbSuspicion_Heard(struct GbSuspicion *self, uint64_t instance_id);
 
