Refuse flow 0 and tokens of another service or flow at the balancer

An unbound CALL of flow 0 was forwarded although callers may not use it, and so was a token of another flow. A token of another service was counted with unexpected kinds; it has the counter wrong_service_total now.

--- a/src/coordination/balancer.c
+++ b/src/coordination/balancer.c
@@ -18,6 +18,13 @@
     return GbSuspicion_IsSuspect(self->suspicion, instance->id, self->now_us);
 }
 
+static enum GbCoordinationStatus
+refuse(struct GbBalancer *self, enum GbCounterId counter)
+{
+    GbCounters_Add(self->counters, counter, 1);
+    return GB_COORDINATION_UNEXPECTED;
+}
+
 static enum GbCoordinationStatus
 route_unbound(struct GbBalancer *self, const struct GbMessage *message,
               struct GbAddress *agent)
@@ -72,32 +79,34 @@
 {
     GbView_Unref(self->view);
     self->view = view;
+    /* The list lags, but it names a new instance before it is sent to. */
+    GbSuspicion_KeepListed(&self->suspicion, view->list);
 }
 
 enum GbCoordinationStatus
 GbBalancer_Route(struct GbBalancer *self, const struct GbMessage *message,
                  struct GbAddress *agent)
 {
-    if (!GbMessage_IsFromCaller(message->kind)) {
-        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
-        return GB_COORDINATION_UNEXPECTED;
+    const struct GbToken *token = &message->token;
+
+    /* Flow 0 is that of tokens with which pool members prove themselves. */
+    if (!GbMessage_IsFromCaller(message->kind) || message->flow_id == 0) {
+        return refuse(self, GB_COUNTER_DATAGRAMS_UNEXPECTED);
     }
-    if (message->has_token) {
-        /* Pool members prove themselves with tokens of flow 0. */
-        if (message->token.flow_id == 0 ||
-            message->token.service_id != message->service_id) {
-            GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
-            return GB_COORDINATION_UNEXPECTED;
-        }
-        GbCounters_Add(self->counters, GB_COUNTER_FORWARDED_BOUND, 1);
-        *agent = message->token.agent;
-        return GB_COORDINATION_OK;
+    if (!message->has_token) {
+        return message->kind == GB_MESSAGE_CALL
+                   ? route_unbound(self, message, agent)
+                   : refuse(self, GB_COUNTER_DATAGRAMS_UNEXPECTED);
     }
-    if (message->kind != GB_MESSAGE_CALL) {
-        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
-        return GB_COORDINATION_UNEXPECTED;
+    if (token->service_id != message->service_id) {
+        return refuse(self, GB_COUNTER_WRONG_SERVICE);
     }
-    return route_unbound(self, message, agent);
+    if (token->flow_id != message->flow_id) {
+        return refuse(self, GB_COUNTER_DATAGRAMS_UNEXPECTED);
+    }
+    GbCounters_Add(self->counters, GB_COUNTER_FORWARDED_BOUND, 1);
+    *agent = token->agent;
+    return GB_COORDINATION_OK;
 }
 
 void
--- a/tests/support/sample_messages.c
+++ b/tests/support/sample_messages.c
@@ -202,6 +202,6 @@
     return a->service_id == b->service_id &&
            a->instance_id == b->instance_id &&
            a->incarnation == b->incarnation &&
-           GbAddress_Equal(&a->agent, &b->agent) &&
-           a->flow_id == b->flow_id && a->issued_ms == b->issued_ms;
+           GbAddress_Equal(&a->agent, &b->agent) && a->flow_id == b->flow_id &&
+           a->issued_ms == b->issued_ms;
 }
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -124,9 +124,8 @@
         }
         size_bytes = GbCodec_Encode(&message, &keys, buffer, sizeof(buffer));
         g_assert_true(!row->is_decoded || size_bytes <= GB_DATAGRAM_BYTES);
-        g_assert_true(
-            (GbCodec_Decode(&message, &keys, buffer, size_bytes) ==
-             GB_PROTOCOL_OK) == row->is_decoded);
+        g_assert_true((GbCodec_Decode(&message, &keys, buffer, size_bytes) ==
+                       GB_PROTOCOL_OK) == row->is_decoded);
         g_assert_cmpuint(GbCodec_Encode(&message, &keys, buffer, 16), ==, 0);
     }
 }
--- a/tests/test_keys.c
+++ b/tests/test_keys.c
@@ -33,7 +33,8 @@
         g_test_message("%s", hex_cases[i].name);
         g_assert_true(GbKeys_ParseHex(key, hex_cases[i].hex) ==
                       hex_cases[i].is_valid);
-        g_assert_true(!hex_cases[i].is_valid || (key[0] == 0 && key[15] == 15));
+        g_assert_true(!hex_cases[i].is_valid ||
+                      (key[0] == 0 && key[15] == 15));
     }
 }
 
@@ -88,9 +89,10 @@
         g_assert_true(GbKeys_OpenToken(&check, sealed, &opened) ==
                       row->is_valid);
         g_assert_true(!row->is_valid || is_token_equal(&token, &opened));
-        g_assert_true(GbKeys_IsPathValid(&check, &token.agent,
-                                         GbKeys_PathTag(&sign, &token.agent)) ==
-                      row->is_valid);
+        g_assert_true(
+            GbKeys_IsPathValid(&check, &token.agent,
+                               GbKeys_PathTag(&sign, &token.agent)) ==
+            row->is_valid);
         GbKeys_FrameTag(&sign, frame, sizeof(frame), tag);
         g_assert_true(GbKeys_IsFrameValid(&check, frame, sizeof(frame), tag) ==
                       row->is_valid);
