--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -17,7 +17,11 @@
         return false;
     }
     if (!message->has_token) {
-        return message->flow_id != 0;
+        if (message->flow_id == 0 || message->kind != GB_MESSAGE_CALL) {
+            GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+            return false;
+        }
+        return true;
     }
     if (message->token.service_id != message->service_id) {
         GbCounters_Add(self->counters, GB_COUNTER_WRONG_SERVICE, 1);
@@ -163,19 +167,13 @@
         GbAdmission_Call(self, path, message);
         break;
     case GB_MESSAGE_FETCH:
-        if (message->has_token) {
-            receive_fetch(self, path, message);
-        }
+        receive_fetch(self, path, message);
         break;
     case GB_MESSAGE_CANCEL:
-        if (message->has_token) {
-            receive_cancel(self, message);
-        }
+        receive_cancel(self, message);
         break;
     case GB_MESSAGE_CLOSE:
-        if (message->has_token) {
-            receive_close(self, message);
-        }
+        receive_close(self, message);
         break;
     default:
         GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
