Test balancer and agent against hostile datagrams

Nothing crashes, what is refused is counted once under its counter, and nothing is sent to an address that no token, path or instance list vouches for.

--- /dev/null
+++ b/tests/test_hostile.c
@@ -0,0 +1,338 @@
+#include <glib.h>
+#include <msgpack.h>
+#include <string.h>
+
+#include "support/hostile.h"
+
+typedef void (*sample_function)(struct WireFixture *fixture, enum Role role,
+                                const uint8_t *data, uint32_t size_bytes);
+
+/* Runs check with every kind in every form for both roles. */
+static void
+for_each_sample(sample_function check)
+{
+    struct WireFixture fixture;
+    uint8_t buffer[BUFFER_BYTES];
+
+    wire_fixture_init(&fixture);
+    for (int role = 0; role < ROLE_END; role++) {
+        for (int kind = GB_MESSAGE_CALL; kind < GB_MESSAGE_KIND_END; kind++) {
+            for (int form = 0; form < FORM_END; form++) {
+                uint32_t size_bytes = hostile_sample(&fixture, (enum Role)role,
+                                                  (enum GbMessageKind)kind,
+                                                  (enum Form)form, buffer);
+
+                g_test_message("%s: %s %s", role_names[role],
+                               GbMessage_KindName((enum GbMessageKind)kind),
+                               form_names[form]);
+                check(&fixture, (enum Role)role, buffer, size_bytes);
+            }
+        }
+    }
+    wire_fixture_finish(&fixture);
+}
+
+static void
+check_truncated(struct WireFixture *fixture, enum Role role,
+                const uint8_t *data, uint32_t size_bytes)
+{
+    for (uint32_t length = 0; length < size_bytes; length++) {
+        wire_fixture_reset(fixture);
+        hostile_feed(fixture, role, data, length);
+        assert_dropped(fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
+    }
+}
+
+/* Guards against reads beyond the end of a datagram and against parts of a
+ * message that are taken for the whole. */
+static void
+test_truncated(void)
+{
+    for_each_sample(check_truncated);
+}
+
+static void
+check_extended(struct WireFixture *fixture, enum Role role,
+               const uint8_t *data, uint32_t size_bytes)
+{
+    uint8_t longer[BUFFER_BYTES + 1];
+
+    memcpy(longer, data, size_bytes);
+    longer[size_bytes] = 0;
+    wire_fixture_reset(fixture);
+    hostile_feed(fixture, role, longer, size_bytes + 1);
+    assert_dropped(fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
+}
+
+/* Guards against bytes smuggled behind a message. */
+static void
+test_extended(void)
+{
+    for_each_sample(check_extended);
+}
+
+/* What may be sent, and that every datagram is accounted for. */
+static void
+assert_contained(const struct WireFixture *fixture, enum Role role)
+{
+    const struct GbAddress *to = &fixture->port.to;
+
+    g_assert_cmpuint(fixture->port.count, <=, 1);
+    if (fixture->port.count > 0 && role == AGENT) {
+        g_assert_true(GbAddress_Equal(to, &wire_fixture_from));
+    }
+    if (fixture->port.count > 0 && role == BALANCER) {
+        /* The agents of the list, the one of the token, the caller. */
+        g_assert_true((to->ipv4 == 0x7f000001 &&
+                       (to->port == 4000 || to->port == 9000)) ||
+                      GbAddress_Equal(to, &hostile_caller));
+    }
+    if (role == BALANCER) {
+        uint64_t forwarded =
+            fixture->counters.values[GB_COUNTER_FORWARDED_BOUND] +
+            fixture->counters.values[GB_COUNTER_FORWARDED_UNBOUND] +
+            fixture->counters.values[GB_COUNTER_RETURNED];
+
+        g_assert_cmpuint(forwarded, ==, fixture->port.count);
+        g_assert_cmpuint(MAX(forwarded, fixture->listener.count) +
+                             wire_fixture_refused(fixture),
+                         ==, 1);
+    }
+}
+
+static void
+check_flipped(struct WireFixture *fixture, enum Role role, const uint8_t *data,
+              uint32_t size_bytes)
+{
+    uint8_t altered[BUFFER_BYTES];
+
+    memcpy(altered, data, size_bytes);
+    for (uint32_t at = 0; at < size_bytes; at++) {
+        for (int bit = 0; bit < 9; bit++) {
+            uint8_t mask = bit < 8 ? (uint8_t)(1U << bit) : 0xff;
+
+            altered[at] ^= mask;
+            wire_fixture_reset(fixture);
+            hostile_feed(fixture, role, altered, size_bytes);
+            assert_contained(fixture, role);
+            altered[at] ^= mask;
+        }
+    }
+}
+
+/* Guards against a damaged datagram that crashes a process, reaches an
+ * address that nobody vouches for, or is lost without being counted. */
+static void
+test_flipped(void)
+{
+    for_each_sample(check_flipped);
+}
+
+/* Headers of containers and byte strings that claim more than there is. */
+static const struct {
+    const char *name;
+    uint8_t bytes[6];
+    uint32_t size_bytes;
+} huge_items[] = {
+    {"array32", {0xdd, 0xff, 0xff, 0xff, 0xff}, 5},
+    {"array16", {0xdc, 0xff, 0xff}, 3},
+    {"fixarray", {0x9f}, 1},
+    {"map32", {0xdf, 0xff, 0xff, 0xff, 0xff}, 5},
+    {"map16", {0xde, 0xff, 0xff}, 3},
+    {"fixmap", {0x8f}, 1},
+    {"bin32", {0xc6, 0xff, 0xff, 0xff, 0xff}, 5},
+    {"str32", {0xdb, 0xff, 0xff, 0xff, 0xff}, 5},
+    {"ext32", {0xc9, 0xff, 0xff, 0xff, 0xff, 1}, 6},
+    {"never used", {0xc1}, 1},
+    {"float64", {0xcb, 0x7f, 0xf0, 0, 0, 0}, 6},
+    {"negative", {0xff}, 1},
+    {"true", {0xc3}, 1},
+};
+
+/* Offset of the items of a flat array. */
+static uint32_t
+item_offsets(const uint8_t *data, uint32_t size_bytes, uint32_t *offsets)
+{
+    size_t at = 1;
+    uint32_t count = 0;
+    msgpack_object object;
+
+    while (at < size_bytes) {
+        offsets[count++] = (uint32_t)at;
+        msgpack_unpack((const char *)data, size_bytes, &at, NULL, &object);
+    }
+    return count;
+}
+
+static void
+check_huge(struct WireFixture *fixture, enum Role role, const uint8_t *data,
+           uint32_t size_bytes)
+{
+    uint32_t offsets[16];
+    uint32_t count = item_offsets(data, size_bytes, offsets);
+
+    for (uint32_t item = 0; item < count; item++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(huge_items); i++) {
+            uint8_t altered[BUFFER_BYTES];
+
+            memcpy(altered, data, offsets[item]);
+            memcpy(altered + offsets[item], huge_items[i].bytes,
+                   huge_items[i].size_bytes);
+            wire_fixture_reset(fixture);
+            hostile_feed(fixture, role, altered,
+                 offsets[item] + huge_items[i].size_bytes);
+            assert_dropped(fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
+        }
+    }
+}
+
+/* Guards against memory reserved for what a header claims. */
+static void
+test_huge_counts(void)
+{
+    for_each_sample(check_huge);
+}
+
+struct RawCase {
+    const char *name;
+    uint8_t bytes[24];
+    uint32_t size_bytes;
+};
+
+static const struct RawCase raw_cases[] = {
+    {"empty array", {0x90}, 1},
+    {"integer", {0x01}, 1},
+    {"nil", {0xc0}, 1},
+    {"array32 of 4 billion", {0xdd, 0xff, 0xff, 0xff, 0xff}, 5},
+    {"array16 in the place of fixarray", {0xdc, 0x00, 0x08, 0x01}, 4},
+    {"map", {0x81, 0x01, 0x02}, 3},
+    {"deep nesting",
+     {0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91,
+      0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91},
+     24},
+    {"kind 0", {0x96, 0x00, 0x07, 0x01, 0x01, 0x00, 0xc0}, 7},
+    {"first kind that does not exist",
+     {0x96, GB_MESSAGE_KIND_END, 0x07, 0x01, 0x01, 0x00, 0xc0},
+     7},
+    {"kind of an envelope with another item count",
+     {0x96, 0x40, 0x07, 0x01, 0x01, 0x00, 0xc0},
+     7},
+    {"envelope of nothing", {0x97, 0x40}, 2},
+    {"kind of an envelope in a longer encoding",
+     {0x97, 0xcc, 0x40, 0x07, 0x01, 0x01, 0x00, 0xc0},
+     8},
+    {"CANCEL with an empty token",
+     {0x96, GB_MESSAGE_CANCEL, 0x07, 0x01, 0x01, 0x00, 0xc4, 0x00},
+     8},
+    {"CANCEL with a token of one byte",
+     {0x96, GB_MESSAGE_CANCEL, 0x07, 0x01, 0x01, 0x00, 0xc4, 0x01, 0x55},
+     9},
+    {"CANCEL with one item too many",
+     {0x97, GB_MESSAGE_CANCEL, 0x07, 0x01, 0x01, 0x00, 0xc0, 0x00},
+     8},
+    {"CANCEL with one item missing",
+     {0x95, GB_MESSAGE_CANCEL, 0x07, 0x01, 0x01, 0x00},
+     6},
+    {"attempt beyond its range",
+     {0x96, GB_MESSAGE_CANCEL, 0x07, 0x01, 0x01, 0xcd, 0x01, 0x00, 0xc0},
+     9},
+};
+
+/* Guards against crashes on what is no message at all. */
+static void
+test_raw(void)
+{
+    struct WireFixture fixture;
+
+    wire_fixture_init(&fixture);
+    for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
+        for (int role = 0; role < ROLE_END; role++) {
+            uint8_t buffer[BUFFER_BYTES];
+            uint32_t size_bytes;
+
+            g_test_message("%s: %s", role_names[role], raw_cases[i].name);
+            wire_fixture_reset(&fixture);
+            hostile_feed(&fixture, (enum Role)role, raw_cases[i].bytes,
+                 raw_cases[i].size_bytes);
+            assert_dropped(&fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
+            if (role == BALANCER) {
+                continue;
+            }
+            size_bytes = hostile_wrap(&fixture, AGENT, raw_cases[i].bytes,
+                                  raw_cases[i].size_bytes, buffer);
+            wire_fixture_reset(&fixture);
+            hostile_feed(&fixture, AGENT, buffer, size_bytes);
+            assert_dropped(&fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
+        }
+    }
+    wire_fixture_finish(&fixture);
+}
+
+struct OversizeCase {
+    const char *name;
+    enum Role role;
+    bool has_envelope;
+    /* Size of the datagram, or of what is in the envelope. */
+    uint32_t size_bytes;
+    bool is_dropped;
+};
+
+static const struct OversizeCase oversize_cases[] = {
+    {"largest answer", BALANCER, true, GB_DATAGRAM_BYTES, false},
+    {"answer one byte too large", BALANCER, true, GB_DATAGRAM_BYTES + 1, true},
+    {"empty answer", BALANCER, true, 0, true},
+    {"one byte too large for a caller", BALANCER, false, GB_DATAGRAM_BYTES + 1,
+     true},
+    {"full receive buffer", BALANCER, false, 2048, true},
+    {"largest garbage for an agent", AGENT, true, GB_DATAGRAM_BYTES, true},
+    {"garbage too large for an agent", AGENT, true, GB_DATAGRAM_BYTES + 1,
+     true},
+    {"empty envelope for an agent", AGENT, true, 0, true},
+    {"full receive buffer of an agent", AGENT, false, 2048, true},
+};
+
+/* Guards against datagrams beyond the limits of the format. */
+static void
+test_oversized(void)
+{
+    struct WireFixture fixture;
+
+    wire_fixture_init(&fixture);
+    for (size_t i = 0; i < G_N_ELEMENTS(oversize_cases); i++) {
+        const struct OversizeCase *row = &oversize_cases[i];
+        static const uint8_t zeros[2048];
+        uint8_t buffer[2 * 2048];
+        uint32_t size_bytes = row->size_bytes;
+
+        g_test_message("%s", row->name);
+        memset(buffer, 0, sizeof(buffer));
+        if (row->has_envelope) {
+            size_bytes =
+                hostile_wrap(&fixture, row->role, zeros, size_bytes, buffer);
+        }
+        wire_fixture_reset(&fixture);
+        hostile_feed(&fixture, row->role, buffer, size_bytes);
+        if (row->is_dropped) {
+            assert_dropped(&fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
+        }
+        else {
+            g_assert_cmpuint(fixture.port.count, ==, 1);
+            g_assert_true(GbAddress_Equal(&fixture.port.to, &hostile_caller));
+            g_assert_cmpuint(fixture.port.size_bytes, ==, row->size_bytes);
+        }
+    }
+    wire_fixture_finish(&fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/hostile/truncated", test_truncated);
+    g_test_add_func("/hostile/extended", test_extended);
+    g_test_add_func("/hostile/flipped", test_flipped);
+    g_test_add_func("/hostile/huge-counts", test_huge_counts);
+    g_test_add_func("/hostile/raw", test_raw);
+    g_test_add_func("/hostile/oversized", test_oversized);
+    return g_test_run();
+}
