Tell the other data tasks of a balancer about answers

The data tasks share one port, and the system gives all datagrams of one agent to one of them. A task that sent CALLs to an agent whose answers reached another task therefore suspected it after 3 CALLs and 300 ms, although it answered: with the default of two tasks, each suspected about half of its agents. A task now tells the others by message that an instance has answered, at most once in 100 ms for each instance.

/balancer-task/answers-of-other-tasks failed before (1 suspicion, 0 expected) and passes now. A socket of its own for each task was considered; its address would differ from the one on which peers read documents over TCP.

Since tasks now post to each other, GbTask_End ends a thread before GbTask_Stop frees the mailbox; the balancer program ends all its tasks first. Before, a view posted during a stop could reach a freed mailbox. Reports that a full control mailbox drops are counted too.

--- a/src/coordination/balancer.c
+++ b/src/coordination/balancer.c
@@ -67,6 +67,12 @@
     GbSuspicion_Init(&self->suspicion);
 }
 
+void
+GbBalancer_SetPort(struct GbBalancer *self, struct GbBalancerPort *port)
+{
+    self->port = port;
+}
+
 void
 GbBalancer_Finish(struct GbBalancer *self)
 {
@@ -111,6 +117,17 @@
 
 void
 GbBalancer_Heard(struct GbBalancer *self, uint64_t instance_id)
+{
+    GbSuspicion_Heard(&self->suspicion, instance_id);
+    if (self->port != NULL &&
+        GbSuspicion_IsShareDue(&self->suspicion, instance_id,
+                               GbClock_MonotonicUs(self->clock))) {
+        self->port->klass->answered(self->port, instance_id);
+    }
+}
+
+void
+GbBalancer_HeardByOther(struct GbBalancer *self, uint64_t instance_id)
 {
     GbSuspicion_Heard(&self->suspicion, instance_id);
 }
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -1,6 +1,7 @@
 #ifndef GB_COORDINATION_BALANCER_H
 #define GB_COORDINATION_BALANCER_H
 
+#include "coordination/balancer_port.h"
 #include "coordination/placement.h"
 #include "coordination/status.h"
 #include "coordination/suspicion.h"
@@ -15,12 +16,19 @@
     struct GbCounters *counters;
     struct GbView *view;
     struct GbSuspicion suspicion;
+    /* NULL if the process has only this data task. */
+    struct GbBalancerPort *port;
 };
 
 /* clock and counters must outlive self. */
 void GbBalancer_Init(struct GbBalancer *self, struct GbClock *clock,
                      struct GbCounters *counters);
 
+/* The system chooses the data task that an answer is given to, which may not
+ * be the one that sent the CALL. The port tells the others; it must outlive
+ * self. */
+void GbBalancer_SetPort(struct GbBalancer *self, struct GbBalancerPort *port);
+
 void GbBalancer_Finish(struct GbBalancer *self);
 
 /* Takes over the caller's reference of view. */
@@ -38,4 +46,7 @@
 /* The agent of this instance has sent something. */
 void GbBalancer_Heard(struct GbBalancer *self, uint64_t instance_id);
 
+/* It has sent something to another data task. */
+void GbBalancer_HeardByOther(struct GbBalancer *self, uint64_t instance_id);
+
 #endif
--- a/src/coordination/suspicion.c
+++ b/src/coordination/suspicion.c
@@ -4,6 +4,8 @@
 #define SILENT_CALLS_MIN 3
 /* Longer than a round trip and a hand-over between data centres. */
 #define SILENCE_US INT64_C(300000)
+/* Three reports of an answer fit into the silence that makes suspect. */
+#define SHARE_PERIOD_US INT64_C(100000)
 #define PERIOD_START_US INT64_C(2000000)
 #define PERIOD_MAX_US INT64_C(16000000)
 
@@ -13,6 +15,8 @@
     int64_t first_unanswered_us;
     int64_t suspect_until_us;
     int64_t period_us;
+    /* When the other data tasks are told of an answer again. */
+    int64_t share_us;
     /* Generation of the last list that names the instance. */
     uint32_t generation;
 };
@@ -32,6 +36,7 @@
         entry = g_new0(struct Entry, 1);
         entry->instance_id = instance_id;
         entry->period_us = PERIOD_START_US;
+        entry->share_us = INT64_MIN;
         g_hash_table_insert(self->by_instance, &entry->instance_id, entry);
     }
     return entry;
@@ -92,6 +97,19 @@
     }
 }
 
+bool
+GbSuspicion_IsShareDue(struct GbSuspicion *self, uint64_t instance_id,
+                       int64_t now_us)
+{
+    struct Entry *entry = find_or_add(self, instance_id);
+
+    if (now_us < entry->share_us) {
+        return false;
+    }
+    entry->share_us = now_us + SHARE_PERIOD_US;
+    return true;
+}
+
 bool
 GbSuspicion_IsSuspect(const struct GbSuspicion *self, uint64_t instance_id,
                       int64_t now_us)
--- a/src/coordination/suspicion.h
+++ b/src/coordination/suspicion.h
@@ -34,6 +34,11 @@
 /* The instance has answered: it is not suspect. */
 void GbSuspicion_Heard(struct GbSuspicion *self, uint64_t instance_id);
 
+/* Whether the other data tasks should be told of an answer. True at most once
+ * in 100 ms for each instance. */
+bool GbSuspicion_IsShareDue(struct GbSuspicion *self, uint64_t instance_id,
+                            int64_t now_us);
+
 bool GbSuspicion_IsSuspect(const struct GbSuspicion *self,
                            uint64_t instance_id, int64_t now_us);
 
--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -91,6 +91,9 @@
         /* The first task may have been given a free port: the others share
          * it. */
         config.listen = GbUdp_Address(&self->data[0].udp);
+        for (uint32_t j = 0; j < i; j++) {
+            GbBalancerTask_Connect(&self->data[j], &self->data[i]);
+        }
     }
     return GB_TRANSPORT_OK;
 }
@@ -139,6 +142,11 @@
     GbTask_Post(&self->control.super, GbDrainMail_New());
     g_async_queue_timeout_pop(self->done,
                               (guint64)settings->stop_limit_ms * US_PER_MS);
+    /* The tasks post to each other until the last one has ended. */
+    for (uint32_t i = 0; i < self->control.data_task_count; i++) {
+        GbTask_End(&self->data[i].super);
+    }
+    GbTask_End(&self->control.super);
     for (uint32_t i = 0; i < self->control.data_task_count; i++) {
         GbTask_Stop(&self->data[i].super);
     }
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -1,5 +1,6 @@
 #include "transport/balancer_task.h"
 
+#include <assert.h>
 #include <stddef.h>
 
 #include "transport/mails.h"
@@ -20,6 +21,14 @@
     GbBalancerWire_Receive(&self->wire, from, data, size_bytes);
 }
 
+static void
+offer(struct GbBalancerTask *self, struct GbTask *task, struct GbMail *mail)
+{
+    if (!GbTask_Offer(task, mail)) {
+        GbCounters_Add(&self->counters, GB_COUNTER_MAILBOX_DROPPED, 1);
+    }
+}
+
 static void
 heard_revision(struct GbRevisionListener *listener,
                const struct GbAddress *from, const struct GbRevision *revision)
@@ -29,10 +38,8 @@
     struct GbRevision own =
         GbDocument_Revision(view != NULL ? view->document : NULL);
 
-    if (GbRevision_Compare(revision, &own) > 0 &&
-        !GbTask_Offer(self->config.control,
-                      GbRevisionMail_New(from, revision))) {
-        GbCounters_Add(&self->counters, GB_COUNTER_MAILBOX_DROPPED, 1);
+    if (GbRevision_Compare(revision, &own) > 0) {
+        offer(self, self->config.control, GbRevisionMail_New(from, revision));
     }
 }
 
@@ -40,6 +47,20 @@
     .heard = heard_revision,
 };
 
+static void
+tell_others(struct GbBalancerPort *port, uint64_t instance_id)
+{
+    struct GbBalancerTask *self = OF_MEMBER(port, answers);
+
+    for (uint32_t i = 0; i < self->other_count; i++) {
+        offer(self, self->others[i], GbAnsweredByMail_New(instance_id));
+    }
+}
+
+static const struct GbBalancerPortClass answers_class = {
+    .answered = tell_others,
+};
+
 static enum GbTransportStatus
 task_open(struct GbTask *task, struct GbLastMessage *last)
 {
@@ -58,6 +79,11 @@
         GbBalancer_SetView(&self->balancer,
                            GbView_Ref(((struct GbViewMail *)mail)->view));
     }
+    else if (mail->klass == &GbAnsweredByMail_Class) {
+        GbBalancer_HeardByOther(
+            &self->balancer,
+            ((struct GbAnsweredByMail *)mail)->instance_id);
+    }
 }
 
 static int64_t
@@ -74,7 +100,7 @@
         GbCountersMail_New(self->config.index, &self->counters);
 
     self->report_us = GbClock_MonotonicUs(task->clock) + REPORT_PERIOD_US;
-    GbTask_Offer(self->config.control, &mail->super);
+    offer(self, self->config.control, &mail->super);
 }
 
 static void
@@ -102,6 +128,14 @@
     .close = task_close,
 };
 
+static void
+add_other(struct GbBalancerTask *self, struct GbBalancerTask *other)
+{
+    assert(self->other_count < GB_BALANCER_TASKS_MAX);
+    self->others[self->other_count++] = &other->super;
+    GbBalancer_SetPort(&self->balancer, &self->answers);
+}
+
 void
 GbBalancerTask_Init(struct GbBalancerTask *self,
                     const struct GbBalancerTaskConfig *config,
@@ -110,6 +144,8 @@
     GbTask_Init(&self->super, &GbBalancerTask_Class, clock, MAILBOX_LIMIT);
     self->listener.received = received;
     self->revisions.klass = &listener_class;
+    self->answers.klass = &answers_class;
+    self->other_count = 0;
     self->config = *config;
     self->udp.fd = -1;
     self->report_us = GbClock_MonotonicUs(clock);
@@ -118,3 +154,10 @@
     GbBalancerWire_Init(&self->wire, &self->balancer, config->keys,
                         &self->udp.super, &self->revisions, &self->counters);
 }
+
+void
+GbBalancerTask_Connect(struct GbBalancerTask *a, struct GbBalancerTask *b)
+{
+    add_other(a, b);
+    add_other(b, a);
+}
--- a/src/transport/mails.c
+++ b/src/transport/mails.c
@@ -25,6 +25,7 @@
 const struct GbMailClass GbViewMail_Class = {free_view};
 const struct GbMailClass GbCountersMail_Class = {free_plain};
 const struct GbMailClass GbRevisionMail_Class = {free_plain};
+const struct GbMailClass GbAnsweredByMail_Class = {free_plain};
 const struct GbMailClass GbDrainMail_Class = {free_plain};
 const struct GbMailClass GbStartMail_Class = {free_plain};
 const struct GbMailClass GbCancelMail_Class = {free_plain};
@@ -66,6 +67,16 @@
     return &mail->super;
 }
 
+struct GbMail *
+GbAnsweredByMail_New(uint64_t instance_id)
+{
+    struct GbAnsweredByMail *mail = g_new0(struct GbAnsweredByMail, 1);
+
+    mail->super.klass = &GbAnsweredByMail_Class;
+    mail->instance_id = instance_id;
+    return &mail->super;
+}
+
 struct GbMail *
 GbDrainMail_New(void)
 {
--- a/src/transport/mails.h
+++ b/src/transport/mails.h
@@ -33,6 +33,12 @@
     struct GbRevision revision;
 };
 
+/* From a balancer's data task to the others: an instance has answered. */
+struct GbAnsweredByMail {
+    struct GbMail super;
+    uint64_t instance_id;
+};
+
 /* From control to an agent's data task: the instance is leaving. */
 struct GbDrainMail {
     struct GbMail super;
@@ -80,6 +86,7 @@
 extern const struct GbMailClass GbViewMail_Class;
 extern const struct GbMailClass GbCountersMail_Class;
 extern const struct GbMailClass GbRevisionMail_Class;
+extern const struct GbMailClass GbAnsweredByMail_Class;
 extern const struct GbMailClass GbDrainMail_Class;
 extern const struct GbMailClass GbStartMail_Class;
 extern const struct GbMailClass GbCancelMail_Class;
@@ -94,6 +101,7 @@
                                           const struct GbCounters *counters);
 struct GbMail *GbRevisionMail_New(const struct GbAddress *from,
                                   const struct GbRevision *revision);
+struct GbMail *GbAnsweredByMail_New(uint64_t instance_id);
 struct GbMail *GbDrainMail_New(void);
 struct GbMail *GbStartMail_New(const struct GbTargetCall *call);
 struct GbMail *GbCancelMail_New(uint64_t work_id);
--- a/src/transport/task.c
+++ b/src/transport/task.c
@@ -161,14 +161,21 @@
 }
 
 void
-GbTask_Stop(struct GbTask *self)
+GbTask_End(struct GbTask *self)
 {
-    struct GbMail *mail;
-
     if (self->is_started) {
         GbTask_Post(self, &stop_mail);
         pthread_join(self->thread, NULL);
+        self->is_started = false;
     }
+}
+
+void
+GbTask_Stop(struct GbTask *self)
+{
+    struct GbMail *mail;
+
+    GbTask_End(self);
     if (self->base != NULL) {
         self->klass->close(self);
         event_free(self->wake);
--- a/src/transport/task.h
+++ b/src/transport/task.h
@@ -83,7 +83,11 @@
  * it if the mailbox is full. */
 bool GbTask_Offer(struct GbTask *self, struct GbMail *mail);
 
-/* Ends the thread, waits for it, and closes what the task owns. */
+/* Ends the thread and waits for it. Mails may still be posted. Tasks that post
+ * to each other are all ended before one of them is stopped. */
+void GbTask_End(struct GbTask *self);
+
+/* Ends the thread if it runs, and closes what the task owns. */
 void GbTask_Stop(struct GbTask *self);
 
 #endif
--- a/tests/support/hostile.c
+++ b/tests/support/hostile.c
@@ -16,7 +16,7 @@
 
 void
 hostile_feed(struct WireFixture *fixture, enum Role role, const uint8_t *data,
-     size_t size_bytes)
+             size_t size_bytes)
 {
     uint8_t *copy = g_memdup2(data, size_bytes);
 
@@ -33,7 +33,7 @@
 
 uint32_t
 hostile_wrap(const struct WireFixture *fixture, enum Role role,
-         const uint8_t *inner, uint32_t inner_bytes, uint8_t *buffer)
+             const uint8_t *inner, uint32_t inner_bytes, uint8_t *buffer)
 {
     return wire_fixture_wrap(&fixture->keys,
                              role == AGENT ? GB_ENVELOPE_TO_AGENT
@@ -43,7 +43,7 @@
 
 uint32_t
 hostile_sample(const struct WireFixture *fixture, enum Role role,
-            enum GbMessageKind kind, enum Form form, uint8_t *buffer)
+               enum GbMessageKind kind, enum Form form, uint8_t *buffer)
 {
     uint8_t inner[BUFFER_BYTES];
     struct GbMessage message;
@@ -79,4 +79,3 @@
     assert_refused(fixture, counter);
     g_assert_cmpuint(fixture->listener.count, ==, 0);
 }
-
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -247,6 +247,66 @@
     GbBalancer_Finish(&fixture.balancer);
 }
 
+/* Counts what the other data tasks are told. */
+struct CountingPort {
+    struct GbBalancerPort super;
+    uint32_t count;
+};
+
+static void
+count_answered(struct GbBalancerPort *port, uint64_t instance_id)
+{
+    g_assert_cmpuint(instance_id, ==, SAMPLE_INSTANCE_ID);
+    ((struct CountingPort *)port)->count++;
+}
+
+static const struct GbBalancerPortClass CountingPort_Class = {
+    .answered = count_answered};
+
+struct ShareCase {
+    const char *name;
+    uint32_t answers;
+    int64_t period_us;
+    bool is_from_other;
+    uint32_t expected;
+};
+
+static const struct ShareCase share_cases[] = {
+    {"one answer", 1, 0, false, 1},
+    {"many at once", 1000, 0, false, 1},
+    {"faster than the period", 1000, 10000, false, 100},
+    {"slower than the period", 10, 250000, false, 10},
+    {"told by another task", 10, 250000, true, 0},
+};
+
+/* Guards against data tasks that do not tell each other of answers, tell each
+ * other of every one, or go on telling what they were told. */
+static void
+test_share(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(share_cases); i++) {
+        const struct ShareCase *row = &share_cases[i];
+        struct CountingPort port = {{&CountingPort_Class}, 0};
+        struct BalancerFixture fixture;
+
+        g_test_message("%s", row->name);
+        fixture_init(&fixture, NULL);
+        GbBalancer_SetPort(&fixture.balancer, &port.super);
+        for (uint32_t j = 0; j < row->answers; j++) {
+            if (row->is_from_other) {
+                GbBalancer_HeardByOther(&fixture.balancer,
+                                        SAMPLE_INSTANCE_ID);
+            }
+            else {
+                GbBalancer_Heard(&fixture.balancer, SAMPLE_INSTANCE_ID);
+            }
+            GbManualClock_Advance(&fixture.clock, row->period_us);
+        }
+        g_assert_cmpuint(port.count, ==, row->expected);
+        GbBalancer_Finish(&fixture.balancer);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -254,6 +314,7 @@
     g_test_add_func("/balancer/route", test_route);
     g_test_add_func("/balancer/without-view", test_without_view);
     g_test_add_func("/balancer/silence", test_silence);
+    g_test_add_func("/balancer/share", test_share);
     g_test_add_func("/balancer/replaced-instances", test_replaced_instances);
     return g_test_run();
 }
--- /dev/null
+++ b/tests/test_balancer_task.c
@@ -0,0 +1,157 @@
+#include "transport/balancer_task.h"
+
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "protocol/codec.h"
+#include "protocol/envelope.h"
+#include "support/fleet.h"
+#include "support/loopback.h"
+#include "support/sample_messages.h"
+#include "transport/mails.h"
+
+#define TASKS 2
+#define CALLERS 24
+/* 24 CALLs take twice the silence after which an instance is suspect. */
+#define CALL_PERIOD_US 25000
+#define CONTROL_LIMIT 1024
+
+struct BalancerProcess {
+    struct GbSystemClock clock;
+    struct GbKeys keys;
+    /* Mailbox only; it never runs. */
+    struct GbTask control;
+    struct GbBalancerTask tasks[TASKS];
+};
+
+static const struct GbTaskClass control_class = {.name = "control"};
+
+static struct BalancerProcess *
+process_start(uint16_t agent_port)
+{
+    struct BalancerProcess *self = g_new0(struct BalancerProcess, 1);
+    struct Fleet fleet = {1, 1, agent_port};
+    struct GbBalancerTaskConfig config = {.listen = {LOOPBACK_IPV4, 0}};
+    struct GbView *view = fleet_view(&fleet);
+    struct GbLastMessage last = {{0}};
+
+    GbSystemClock_Init(&self->clock);
+    sample_keys(&self->keys);
+    GbTask_Init(&self->control, &control_class, &self->clock.super,
+                CONTROL_LIMIT);
+    self->control.wake_fd = -1;
+    config.keys = &self->keys;
+    config.control = &self->control;
+    for (uint32_t i = 0; i < TASKS; i++) {
+        struct GbBalancerTask *task = &self->tasks[i];
+
+        config.index = i;
+        GbBalancerTask_Init(task, &config, &self->clock.super);
+        g_assert_cmpint(GbTask_Open(&task->super, &last), ==, GB_TRANSPORT_OK);
+        config.listen = GbUdp_Address(&task->udp);
+        GbTask_Post(&task->super, GbViewMail_New(view));
+        for (uint32_t j = 0; j < i; j++) {
+            GbBalancerTask_Connect(&self->tasks[j], task);
+        }
+    }
+    for (uint32_t i = 0; i < TASKS; i++) {
+        g_assert_cmpint(GbTask_Start(&self->tasks[i].super, &last), ==,
+                        GB_TRANSPORT_OK);
+    }
+    GbView_Unref(view);
+    return self;
+}
+
+static void
+process_stop(struct BalancerProcess *self)
+{
+    for (uint32_t i = 0; i < TASKS; i++) {
+        GbTask_End(&self->tasks[i].super);
+    }
+    for (uint32_t i = 0; i < TASKS; i++) {
+        GbTask_Stop(&self->tasks[i].super);
+    }
+    GbTask_Stop(&self->control);
+}
+
+/* Answers one forwarded CALL as an agent does. */
+static void
+answer(const struct BalancerProcess *process, int agent)
+{
+    uint8_t data[GB_ENVELOPE_BYTES];
+    uint8_t inner[GB_DATAGRAM_BYTES];
+    uint8_t reply[GB_ENVELOPE_BYTES];
+    struct GbAddress balancer;
+    struct GbEnvelope envelope;
+    struct GbMessage message;
+    uint32_t header_bytes;
+    ssize_t size_bytes =
+        loopback_receive(agent, &balancer, data, sizeof(data));
+
+    g_assert_cmpint(size_bytes, >, 0);
+    g_assert_cmpint(
+        GbEnvelope_Decode(&envelope, &process->keys, data, (size_t)size_bytes),
+        ==, GB_PROTOCOL_OK);
+    sample_message(&message, GB_MESSAGE_NOT_RUN, false);
+    envelope.kind = GB_ENVELOPE_TO_BALANCER;
+    envelope.instance_id = GbInstance_IdOfName("instance-0");
+    envelope.inner.data = inner;
+    envelope.inner.size_bytes =
+        GbCodec_Encode(&message, &process->keys, inner, sizeof(inner));
+    header_bytes = GbEnvelope_EncodeHeader(&envelope, reply);
+    memcpy(reply + header_bytes, inner, envelope.inner.size_bytes);
+    loopback_send(agent, &balancer, reply,
+                  header_bytes + envelope.inner.size_bytes);
+}
+
+/* Guards against a data task that suspects an agent because the system gives
+ * the answers to another task on the same port, and against answers that do
+ * not come from the address that the caller sent to. */
+static void
+test_answers_of_other_tasks(void)
+{
+    int agent = loopback_socket();
+    struct BalancerProcess *process =
+        process_start(loopback_address(agent).port);
+    struct GbAddress address = GbUdp_Address(&process->tasks[0].udp);
+
+    for (uint64_t i = 0; i < CALLERS; i++) {
+        int caller = loopback_socket();
+        uint8_t data[GB_DATAGRAM_BYTES];
+        struct GbMessage message;
+        struct GbAddress from;
+
+        sample_message(&message, GB_MESSAGE_CALL, false);
+        message.service_id = 1;
+        message.flow_id = i + 1;
+        loopback_send(caller, &address, data,
+                      GbCodec_Encode(&message, NULL, data, sizeof(data)));
+        answer(process, agent);
+        g_assert_cmpint(loopback_receive(caller, &from, data, sizeof(data)), >,
+                        0);
+        g_assert_true(GbAddress_Equal(&from, &address));
+        close(caller);
+        g_usleep(CALL_PERIOD_US);
+    }
+    process_stop(process);
+    for (uint32_t i = 0; i < TASKS; i++) {
+        const uint64_t *values = process->tasks[i].counters.values;
+
+        /* With 24 callers both tasks are reached, but for 1 run in 8 million
+         * (2 in 2^24). */
+        g_assert_cmpuint(values[GB_COUNTER_FORWARDED_UNBOUND], >, 0);
+        g_assert_cmpuint(values[GB_COUNTER_INSTANCES_SUSPECTED], ==, 0);
+    }
+    close(agent);
+    g_free(process);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/balancer-task/answers-of-other-tasks",
+                    test_answers_of_other_tasks);
+    return g_test_run();
+}
--- a/tests/test_forged.c
+++ b/tests/test_forged.c
@@ -85,8 +85,8 @@
         memcpy(buffer, inner, size_bytes);
         return size_bytes;
     }
-    size_bytes = wire_fixture_wrap(&path_keys, direction, &hostile_caller, inner,
-                                   size_bytes, buffer);
+    size_bytes = wire_fixture_wrap(&path_keys, direction, &hostile_caller,
+                                   inner, size_bytes, buffer);
     /* The third item is the address: a type byte and 8 bytes. */
     buffer[10] ^= row->forgery == FORGED_PATH_ADDRESS;
     return size_bytes;
@@ -167,7 +167,7 @@
             uint8_t buffer[BUFFER_BYTES];
             uint32_t size_bytes =
                 hostile_sample(&fixture, row->role, (enum GbMessageKind)kind,
-                            row->form, buffer);
+                               row->form, buffer);
 
             g_test_message("%s: %s %s", role_names[row->role],
                            GbMessage_KindName((enum GbMessageKind)kind),
--- a/tests/test_hostile.c
+++ b/tests/test_hostile.c
@@ -19,8 +19,8 @@
         for (int kind = GB_MESSAGE_CALL; kind < GB_MESSAGE_KIND_END; kind++) {
             for (int form = 0; form < FORM_END; form++) {
                 uint32_t size_bytes = hostile_sample(&fixture, (enum Role)role,
-                                                  (enum GbMessageKind)kind,
-                                                  (enum Form)form, buffer);
+                                                     (enum GbMessageKind)kind,
+                                                     (enum Form)form, buffer);
 
                 g_test_message("%s: %s %s", role_names[role],
                                GbMessage_KindName((enum GbMessageKind)kind),
@@ -180,7 +180,7 @@
                    huge_items[i].size_bytes);
             wire_fixture_reset(fixture);
             hostile_feed(fixture, role, altered,
-                 offsets[item] + huge_items[i].size_bytes);
+                         offsets[item] + huge_items[i].size_bytes);
             assert_dropped(fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
         }
     }
@@ -253,13 +253,13 @@
             g_test_message("%s: %s", role_names[role], raw_cases[i].name);
             wire_fixture_reset(&fixture);
             hostile_feed(&fixture, (enum Role)role, raw_cases[i].bytes,
-                 raw_cases[i].size_bytes);
+                         raw_cases[i].size_bytes);
             assert_dropped(&fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
             if (role == BALANCER) {
                 continue;
             }
             size_bytes = hostile_wrap(&fixture, AGENT, raw_cases[i].bytes,
-                                  raw_cases[i].size_bytes, buffer);
+                                      raw_cases[i].size_bytes, buffer);
             wire_fixture_reset(&fixture);
             hostile_feed(&fixture, AGENT, buffer, size_bytes);
             assert_dropped(&fixture, GB_COUNTER_DATAGRAMS_MALFORMED);
