Decode datagrams without msgpack_unpack

Without a zone, msgpack_unpack allocates one of 4 KB for each byte string and leaks it, so that every bound datagram cost a balancer or agent 4 KB for good. It also cost most of the time of forwarding.

--- a/src/protocol/reader.c
+++ b/src/protocol/reader.c
@@ -1,59 +1,74 @@
 #include "protocol/reader.h"
 
-#include <msgpack.h>
 #include <string.h>
 
 /* Type bytes of the msgpack specification. */
+#define FIXINT_LAST 0x7f
 #define FIXARRAY_FIRST 0x90
 #define FIXARRAY_LAST 0x9f
-#define FIXMAP_FIRST 0x80
-#define ARRAY16 0xdc
-#define MAP32 0xdf
+#define NIL 0xc0
+#define BIN8 0xc4
+#define BIN32 0xc6
+#define UINT8 0xcc
+#define UINT64 0xcf
 
-static bool
-is_container(uint8_t type)
+static void
+fail(struct GbReader *self)
 {
-    return (type >= FIXMAP_FIRST && type <= FIXARRAY_LAST) ||
-           (type >= ARRAY16 && type <= MAP32);
+    self->is_malformed = true;
 }
 
-static bool
-next_item(struct GbReader *self, msgpack_object *object)
+/* Type byte of the next item; NIL after a fault. */
+static uint8_t
+next_type(struct GbReader *self)
 {
     if (self->is_malformed || self->items_left == 0 ||
-        self->offset_bytes >= self->size_bytes ||
-        is_container(self->data[self->offset_bytes])) {
-        self->is_malformed = true;
-        return false;
+        self->offset_bytes >= self->size_bytes) {
+        fail(self);
+        return NIL;
     }
     self->items_left--;
-    switch (msgpack_unpack((const char *)self->data, self->size_bytes,
-                           &self->offset_bytes, NULL, object)) {
-    case MSGPACK_UNPACK_SUCCESS:
-    case MSGPACK_UNPACK_EXTRA_BYTES:
-        return true;
-    default:
-        self->is_malformed = true;
-        return false;
+    return self->data[self->offset_bytes++];
+}
+
+/* Big-endian number of 1, 2, 4 or 8 bytes. */
+static uint64_t
+next_number(struct GbReader *self, size_t number_bytes)
+{
+    uint64_t value = 0;
+
+    if (self->size_bytes - self->offset_bytes < number_bytes) {
+        fail(self);
+        return 0;
+    }
+    for (size_t i = 0; i < number_bytes; i++) {
+        value = value << 8 | self->data[self->offset_bytes++];
     }
+    return value;
 }
 
 static struct GbBytes
 take_bytes(struct GbReader *self, uint32_t max_bytes, bool may_be_nil)
 {
     struct GbBytes bytes = {NULL, 0};
-    msgpack_object object;
+    uint8_t type = next_type(self);
+    uint64_t size_bytes;
 
-    if (!next_item(self, &object) ||
-        (may_be_nil && object.type == MSGPACK_OBJECT_NIL)) {
+    if (type < BIN8 || type > BIN32) {
+        if (type != NIL || !may_be_nil) {
+            fail(self);
+        }
         return bytes;
     }
-    if (object.type != MSGPACK_OBJECT_BIN || object.via.bin.size > max_bytes) {
-        self->is_malformed = true;
+    size_bytes = next_number(self, (size_t)1 << (type - BIN8));
+    if (self->is_malformed || size_bytes > max_bytes ||
+        size_bytes > self->size_bytes - self->offset_bytes) {
+        fail(self);
         return bytes;
     }
-    bytes.data = (const uint8_t *)object.via.bin.ptr;
-    bytes.size_bytes = object.via.bin.size;
+    bytes.data = self->data + self->offset_bytes;
+    bytes.size_bytes = (uint32_t)size_bytes;
+    self->offset_bytes += size_bytes;
     return bytes;
 }
 
@@ -75,17 +90,21 @@
 uint64_t
 GbReader_Uint(struct GbReader *self, uint64_t max)
 {
-    msgpack_object object;
+    uint8_t type = next_type(self);
+    uint64_t value = type;
 
-    if (!next_item(self, &object)) {
-        return 0;
+    if (type > FIXINT_LAST) {
+        if (type < UINT8 || type > UINT64) {
+            fail(self);
+            return 0;
+        }
+        value = next_number(self, (size_t)1 << (type - UINT8));
     }
-    if (object.type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        object.via.u64 > max) {
-        self->is_malformed = true;
+    if (self->is_malformed || value > max) {
+        fail(self);
         return 0;
     }
-    return object.via.u64;
+    return value;
 }
 
 struct GbBytes
--- a/src/protocol/reader.h
+++ b/src/protocol/reader.h
@@ -7,10 +7,11 @@
 
 #include "state/message.h"
 
-/* Decoder of one flat msgpack array of at most 15 items. It refuses nested
- * containers before msgpack sees them, because their headers may claim any
- * number of items and msgpack allocates for all of them. The first fault is
- * kept: reads after it give zero values. */
+/* Decoder of one flat msgpack array of at most 15 unsigned integers, byte
+ * strings and nils. It is not msgpack-c's: without a zone, msgpack_unpack
+ * leaks 4 KB for each byte string; it builds containers of any size that a
+ * header claims; and it costs more than the rest of forwarding. The first
+ * fault is kept: reads after it give zero values. */
 struct GbReader {
     const uint8_t *data;
     size_t size_bytes;
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -81,8 +81,7 @@
     }
     else if (mail->klass == &GbAnsweredByMail_Class) {
         GbBalancer_HeardByOther(
-            &self->balancer,
-            ((struct GbAnsweredByMail *)mail)->instance_id);
+            &self->balancer, ((struct GbAnsweredByMail *)mail)->instance_id);
     }
 }
 
--- a/tests/support/loopback.c
+++ b/tests/support/loopback.c
@@ -48,7 +48,7 @@
 struct GbAddress
 loopback_address(int fd)
 {
-    struct sockaddr_in system;
+    struct sockaddr_in system = {0};
     socklen_t size_bytes = sizeof(system);
 
     g_assert_cmpint(getsockname(fd, (struct sockaddr *)&system, &size_bytes),
@@ -70,7 +70,7 @@
 ssize_t
 loopback_receive(int fd, struct GbAddress *from, void *data, size_t size_bytes)
 {
-    struct sockaddr_in system;
+    struct sockaddr_in system = {0};
     socklen_t system_bytes = sizeof(system);
     ssize_t count = recvfrom(fd, data, size_bytes, 0,
                              (struct sockaddr *)&system, &system_bytes);
--- a/tests/support/wire_fixture.c
+++ b/tests/support/wire_fixture.c
@@ -33,7 +33,8 @@
     self->size_bytes = header.size_bytes + body.size_bytes;
 }
 
-static const struct GbDatagramPortClass RecordingPort_Class = {.send = record};
+static const struct GbDatagramPortClass recording_port_class = {.send =
+                                                                    record};
 
 static void
 heard(struct GbRevisionListener *listener, const struct GbAddress *from,
@@ -44,7 +45,7 @@
     ((struct CountingListener *)listener)->count++;
 }
 
-static const struct GbRevisionListenerClass CountingListener_Class = {
+static const struct GbRevisionListenerClass counting_listener_class = {
     .heard = heard};
 
 static void
@@ -69,7 +70,7 @@
     (void)size_bytes;
 }
 
-static const struct GbTargetPortClass CountingTarget_Class = {
+static const struct GbTargetPortClass counting_target_class = {
     .start = start, .cancel = cancel, .allow = allow};
 
 void
@@ -85,9 +86,9 @@
     sample_keys(&self->keys);
     GbManualClock_Init(&self->clock, INT64_C(200000000), 0);
     GbSeededRandom_Init(&self->random, 3);
-    self->port.super.klass = &RecordingPort_Class;
-    self->listener.super.klass = &CountingListener_Class;
-    self->target.super.klass = &CountingTarget_Class;
+    self->port.super.klass = &recording_port_class;
+    self->listener.super.klass = &counting_listener_class;
+    self->target.super.klass = &counting_target_class;
     GbBalancer_Init(&self->balancer, &self->clock.super, &self->counters);
     GbBalancer_SetView(&self->balancer, fleet_view(&fleet));
     GbBalancerWire_Init(&self->balancer_wire, &self->balancer, &self->keys,
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -260,7 +260,7 @@
     ((struct CountingPort *)port)->count++;
 }
 
-static const struct GbBalancerPortClass CountingPort_Class = {
+static const struct GbBalancerPortClass counting_port_class = {
     .answered = count_answered};
 
 struct ShareCase {
@@ -286,7 +286,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(share_cases); i++) {
         const struct ShareCase *row = &share_cases[i];
-        struct CountingPort port = {{&CountingPort_Class}, 0};
+        struct CountingPort port = {{&counting_port_class}, 0};
         struct BalancerFixture fixture;
 
         g_test_message("%s", row->name);
@@ -294,8 +294,7 @@
         GbBalancer_SetPort(&fixture.balancer, &port.super);
         for (uint32_t j = 0; j < row->answers; j++) {
             if (row->is_from_other) {
-                GbBalancer_HeardByOther(&fixture.balancer,
-                                        SAMPLE_INSTANCE_ID);
+                GbBalancer_HeardByOther(&fixture.balancer, SAMPLE_INSTANCE_ID);
             }
             else {
                 GbBalancer_Heard(&fixture.balancer, SAMPLE_INSTANCE_ID);
--- a/tests/test_hostile.c
+++ b/tests/test_hostile.c
@@ -155,12 +155,14 @@
 {
     size_t at = 1;
     uint32_t count = 0;
+    msgpack_zone *zone = msgpack_zone_new(MSGPACK_ZONE_CHUNK_SIZE);
     msgpack_object object;
 
     while (at < size_bytes) {
         offsets[count++] = (uint32_t)at;
-        msgpack_unpack((const char *)data, size_bytes, &at, NULL, &object);
+        msgpack_unpack((const char *)data, size_bytes, &at, zone, &object);
     }
+    msgpack_zone_free(zone);
     return count;
 }
 
--- a/tests/test_mailbox.c
+++ b/tests/test_mailbox.c
@@ -23,14 +23,14 @@
     g_free(mail);
 }
 
-static const struct GbMailClass CountedMail_Class = {free_counted};
+static const struct GbMailClass counted_mail_class = {free_counted};
 
 static struct GbMail *
 counted_mail(uint32_t *freed)
 {
     struct CountedMail *mail = g_new0(struct CountedMail, 1);
 
-    mail->super.klass = &CountedMail_Class;
+    mail->super.klass = &counted_mail_class;
     mail->freed = freed;
     return &mail->super;
 }
@@ -69,7 +69,7 @@
     (void)task;
 }
 
-static const struct GbTaskClass CountingTask_Class = {
+static const struct GbTaskClass counting_task_class = {
     .name = "counting",
     .open = counting_open,
     .receive = counting_receive,
@@ -114,7 +114,7 @@
         uint32_t accepted = 0;
 
         g_test_message("%s", row->name);
-        GbTask_Init(&task.super, &CountingTask_Class, &clock.super,
+        GbTask_Init(&task.super, &counting_task_class, &clock.super,
                     row->limit);
         g_assert_cmpint(GbTask_Open(&task.super, &last), ==, GB_TRANSPORT_OK);
         for (uint32_t offer = 0; offer < row->offers; offer++) {
@@ -157,7 +157,7 @@
 
     GbSystemClock_Init(&clock);
     sample_keys(&keys);
-    GbTask_Init(&control.super, &CountingTask_Class, &clock.super,
+    GbTask_Init(&control.super, &counting_task_class, &clock.super,
                 CONTROL_LIMIT);
     g_assert_cmpint(GbTask_Open(&control.super, &last), ==, GB_TRANSPORT_OK);
     config.keys = &keys;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -175,7 +175,7 @@
         GbSeededRandom_Init(&random, 14);
         for (uint32_t flow = 0; flow < 1000; flow++) {
             uint64_t id = GbRandom_Next(&random.super);
-            uint64_t seen[8];
+            uint64_t seen[8] = {0};
 
             for (uint32_t rank = 0; rank < row->ranks; rank++) {
                 seen[rank] =
