--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -7,17 +7,17 @@
 
 struct AnswerCase {
     const char *name;
-    uint32_t chunks;
     uint64_t acknowledged;
+    uint32_t chunks;
     uint32_t expected_room;
 };
 
 static const struct AnswerCase answer_cases[] = {
     {"empty", 0, 0, GB_ANSWER_WINDOW_BYTES},
-    {"one chunk", 1, 0, GB_ANSWER_WINDOW_BYTES - CHUNK_BYTES},
-    {"acknowledged in part", 10, 2500, GB_ANSWER_WINDOW_BYTES - 7500},
-    {"acknowledged beyond the end", 3, 9000, GB_ANSWER_WINDOW_BYTES},
-    {"full", 65, 0, GB_ANSWER_WINDOW_BYTES - 65 * CHUNK_BYTES},
+    {"one chunk", 0, 1, GB_ANSWER_WINDOW_BYTES - CHUNK_BYTES},
+    {"acknowledged in part", 2500, 10, GB_ANSWER_WINDOW_BYTES - 7500},
+    {"acknowledged beyond the end", 9000, 3, GB_ANSWER_WINDOW_BYTES},
+    {"full", 0, 65, GB_ANSWER_WINDOW_BYTES - 65 * CHUNK_BYTES},
 };
 
 static void
