Fuzz the wires of both roles with libFuzzer

make fuzz feeds random datagrams, bare and behind a genuine path, under AddressSanitizer and UBSan for FUZZ_SECONDS (20).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build build-sanitize test format format-check lint layers clean
+# Time for which make fuzz feeds random datagrams.
+FUZZ_SECONDS ?= 20
+
+.PHONY: all deps build build-sanitize test format format-check lint layers \
+	fuzz clean
 
 all: build
 
@@ -32,5 +36,19 @@
 layers:
 	tools/check-layers.sh
 
+# Random datagrams under libFuzzer and the sanitizers. Not part of CI.
+fuzz: deps
+	mkdir -p $(BUILD)-fuzz
+	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
+	  -fno-sanitize-recover=all -Isrc -Itests -DGB_VERSION='"fuzz"' \
+	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack) \
+	  tests/fuzz/fuzz_datagram.c tests/support/*.c src/state/*.c \
+	  src/coordination/*.c \
+	  $$(ls src/protocol/*.c | grep -v document_json) \
+	  -o $(BUILD)-fuzz/fuzz_datagram \
+	  $$(pkg-config --libs glib-2.0 libsodium libxxhash msgpack) -lm
+	$(BUILD)-fuzz/fuzz_datagram -artifact_prefix=$(BUILD)-fuzz/ \
+	  -max_total_time=$(FUZZ_SECONDS) -max_len=2048
+
 clean:
-	rm -rf $(BUILD) $(BUILD)-sanitize
+	rm -rf $(BUILD) $(BUILD)-sanitize $(BUILD)-fuzz
--- /dev/null
+++ b/tests/fuzz/fuzz_datagram.c
@@ -0,0 +1,31 @@
+/* Feeds arbitrary datagrams to the wires of both roles. Built by make fuzz. */
+
+#include <string.h>
+
+#include "support/hostile.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes)
+{
+    static struct WireFixture fixture;
+    static bool is_ready;
+    uint8_t buffer[BUFFER_BYTES];
+
+    if (!is_ready) {
+        wire_fixture_init(&fixture);
+        is_ready = true;
+    }
+    for (int role = 0; role < ROLE_END; role++) {
+        hostile_feed(&fixture, (enum Role)role, data, size_bytes);
+        if (size_bytes <= GB_DATAGRAM_BYTES) {
+            /* Behind a genuine path, which a fuzzer does not find. */
+            uint32_t wrapped_bytes = hostile_wrap(
+                &fixture, (enum Role)role, data, (uint32_t)size_bytes, buffer);
+
+            hostile_feed(&fixture, (enum Role)role, buffer, wrapped_bytes);
+        }
+    }
+    return 0;
+}
