Give the target stand-in slots, a queue and changeable modes

Process tests need targets that start cold, shed, lag or mislead, notice cancellation and prove which requests ran. The stand-in now has slots and a bounded queue of its own, streams its answers with a Content-Length or chunked, and logs ran, ended, cancelled, withdrawn and shed with the body of each request. Modes come from flags and from /mode, through the settings table, for which GbSettings_Set is added.

--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -170,6 +170,25 @@
     return status;
 }
 
+bool
+GbSettings_Set(const struct GbSetting *settings, size_t count,
+               const char *program, const char *name, const char *text,
+               void *values, FILE *errors)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(settings[i].name, name) != 0) {
+            continue;
+        }
+        if (!set_value(&settings[i], text, values)) {
+            report(&settings[i], program, text, errors);
+            return false;
+        }
+        return true;
+    }
+    fprintf(errors, "%s: there is no setting %s\n", program, name);
+    return false;
+}
+
 void
 GbSettings_Variable(const struct GbSetting *setting, char *buffer,
                     size_t size_bytes)
--- a/src/transport/settings.h
+++ b/src/transport/settings.h
@@ -1,6 +1,7 @@
 #ifndef GB_TRANSPORT_SETTINGS_H
 #define GB_TRANSPORT_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -50,6 +51,12 @@
                                        int argc, char **argv, void *values,
                                        FILE *errors);
 
+/* Sets one setting by its name. Returns false after a line on errors if there
+ * is no such setting or the text is wrong. */
+bool GbSettings_Set(const struct GbSetting *settings, size_t count,
+                    const char *program, const char *name, const char *text,
+                    void *values, FILE *errors);
+
 /* Name of the environment variable of a setting. */
 void GbSettings_Variable(const struct GbSetting *setting, char *buffer,
                          size_t size_bytes);
--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -1,98 +1,185 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "standins/target_jobs.h"
 #include "state/address.h"
 #include "transport/process.h"
 #include "transport/settings.h"
 
 #define PROGRAM "target-standin"
 #define US_PER_MS 1000
-#define MS_PER_SECOND 1000
 #define BODY_BYTES_MAX 4096
+/* The endpoints can lag by up to SAMPLES times SAMPLE_MS. */
+#define SAMPLE_MS 50
+#define SAMPLES 256
+#define LAG_MS_MAX (SAMPLE_MS * (SAMPLES - 1))
+#define PERCENT 100
+#define AUTOMATIC "auto"
 
-/* Stand-in for a target: answers operations after some time and writes a
- * line for each that it runs. The answer of an operation whose name begins
- * with "pack" is large. */
+/* What the endpoints would have said at one time. */
+struct Sample {
+    bool is_cold;
+    uint32_t running;
+};
+
+/* Stand-in for a target. Modes come from flags and from GET
+ * /mode?SETTING=VALUE. An operation whose name begins with "pack" has a large
+ * answer. */
 struct Target {
     struct GbAddress listen;
-    int64_t work_ms;
-    int64_t pack_bytes;
+    struct GbTargetMode mode;
+    char health[GB_SETTING_TEXT_BYTES];
+    int64_t health_lag_ms;
+    int64_t load_percent;
+    int64_t load_lag_ms;
     struct event_base *base;
+    struct evhttp *http;
+    struct GbSystemClock clock;
+    struct GbTargetJobs jobs;
+    struct Sample samples[SAMPLES];
+    uint32_t sample_at;
 };
 
-struct Work {
-    struct evhttp_request *request;
-    struct event *timer;
-    struct evbuffer *answer;
-};
+#define NUMBER(name, member, fallback, min, max, unit, help)                  \
+    {                                                                         \
+        name, GB_SETTING_NUMBER, offsetof(struct Target, member), fallback,   \
+            min, max, unit, help                                              \
+    }
 
 static const struct GbSetting settings_table[] = {
     {"listen", GB_SETTING_ADDRESS, offsetof(struct Target, listen),
      "127.0.0.1:0", 0, 0, "ipv4:port", "HTTP address."},
-    {"work-ms", GB_SETTING_NUMBER, offsetof(struct Target, work_ms), "20", 0,
-     600000, "ms", "Time that each operation takes."},
-    {"pack-bytes", GB_SETTING_NUMBER, offsetof(struct Target, pack_bytes),
-     "2000000", 1, 1 << 30, "bytes", "Size of the answer of a pack."},
+    NUMBER("slots", mode.slots, "2", 1, 1024, "jobs", "Jobs at once."),
+    NUMBER("queue", mode.queue, "64", 0, 65536, "jobs",
+           "Jobs that may wait; beyond, the target sheds."),
+    NUMBER("work-ms", mode.work_ms, "20", 0, 600000, "ms",
+           "Time until a job is answered."),
+    NUMBER("cold-ms", mode.cold_ms, "0", 0, 600000, "ms",
+           "Time after the start for which jobs are slow."),
+    NUMBER("cold-factor", mode.cold_factor, "5", 1, 1000, "times",
+           "Slowness of a cold target."),
+    NUMBER("pack-bytes", mode.pack_bytes, "2000000", 1, 1 << 30, "bytes",
+           "Size of the answer of a pack."),
+    NUMBER("chunk-bytes", mode.chunk_bytes, "65536", 1, 1 << 20, "bytes",
+           "Bytes written at once."),
+    NUMBER("chunk-ms", mode.chunk_ms, "0", 0, 60000, "ms",
+           "Pause between chunks."),
+    NUMBER("chunked", mode.chunked, "0", 0, 1, "0 or 1",
+           "Chunked answers instead of a Content-Length."),
+    NUMBER("shed", mode.shed, "0", 0, 1, "0 or 1", "Shed every job."),
+    {"health", GB_SETTING_TEXT, offsetof(struct Target, health), AUTOMATIC, 0,
+     0, "auto or a state",
+     "State that /health reports; auto is starting while cold, then ok."},
+    NUMBER("health-lag-ms", health_lag_ms, "0", 0, LAG_MS_MAX, "ms",
+           "Age of what /health reports."),
+    NUMBER("load-percent", load_percent, "100", 0, 10000, "percent",
+           "Reported load in percent of the real one."),
+    NUMBER("load-lag-ms", load_lag_ms, "0", 0, LAG_MS_MAX, "ms",
+           "Age of what /load reports."),
 };
 
+static const struct Sample *
+sample_of(const struct Target *self, int64_t lag_ms)
+{
+    uint32_t age = (uint32_t)(lag_ms / SAMPLE_MS);
+
+    return &self->samples[(self->sample_at + SAMPLES - age) % SAMPLES];
+}
+
 static void
-fill_pack(struct evbuffer *answer, int64_t size_bytes)
+take_sample(struct Target *self)
 {
-    uint8_t *data = g_malloc((gsize)size_bytes);
+    struct Sample *sample = &self->samples[self->sample_at];
 
-    for (int64_t i = 0; i < size_bytes; i++) {
-        data[i] = (uint8_t)(i * 31 + i / 1024);
-    }
-    evbuffer_add(answer, data, (size_t)size_bytes);
-    g_free(data);
+    sample->is_cold = GbTargetJobs_IsCold(&self->jobs);
+    sample->running = self->jobs.running;
 }
 
 static void
-work_done(evutil_socket_t fd, short events, void *context)
+sample_due(evutil_socket_t fd, short events, void *context)
 {
-    struct Work *work = context;
+    struct Target *self = context;
 
     (void)fd;
     (void)events;
-    evhttp_send_reply(work->request, HTTP_OK, "OK", work->answer);
-    evbuffer_free(work->answer);
-    event_free(work->timer);
-    g_free(work);
+    self->sample_at = (self->sample_at + 1) % SAMPLES;
+    take_sample(self);
 }
 
 static void
-operate(struct Target *self, struct evhttp_request *request, const char *name)
+reply(struct evhttp_request *request, int status, const char *text)
 {
-    struct evbuffer *input = evhttp_request_get_input_buffer(request);
-    struct timeval delay = {self->work_ms / MS_PER_SECOND,
-                            self->work_ms % MS_PER_SECOND * US_PER_MS};
-    struct Work *work = g_new0(struct Work, 1);
-    const char *id = evhttp_find_header(
-        evhttp_request_get_input_headers(request), "Request-Id");
-    size_t size_bytes = evbuffer_get_length(input);
-
-    work->request = request;
-    work->answer = evbuffer_new();
-    printf("ran id=%s operation=%s body=%.*s\n", id != NULL ? id : "-", name,
-           (int)size_bytes, (const char *)evbuffer_pullup(input, -1));
-    fflush(stdout);
-    if (strncmp(name, "pack", strlen("pack")) == 0) {
-        fill_pack(work->answer, self->pack_bytes);
+    struct evbuffer *body = evbuffer_new();
+
+    evbuffer_add(body, text, strlen(text));
+    evhttp_send_reply(request, status, NULL, body);
+    evbuffer_free(body);
+}
+
+static void
+report_health(struct Target *self, struct evhttp_request *request)
+{
+    const char *state = self->health;
+    gchar *text;
+
+    take_sample(self);
+    if (strcmp(state, AUTOMATIC) == 0) {
+        state =
+            sample_of(self, self->health_lag_ms)->is_cold ? "starting" : "ok";
     }
-    else {
-        evbuffer_add_printf(work->answer, "%s ", name);
-        evbuffer_add_buffer(work->answer, input);
+    text = g_strdup_printf("{\"state\":\"%s\"}", state);
+    reply(request, HTTP_OK, text);
+    g_free(text);
+}
+
+static void
+report_load(struct Target *self, struct evhttp_request *request)
+{
+    int64_t running;
+    gchar *text;
+
+    take_sample(self);
+    running = sample_of(self, self->load_lag_ms)->running;
+    text = g_strdup_printf("{\"running\":%d,\"slots\":%d}",
+                           (int)(running * self->load_percent / PERCENT),
+                           (int)self->mode.slots);
+    reply(request, HTTP_OK, text);
+    g_free(text);
+}
+
+static void
+change_mode(struct Target *self, struct evhttp_request *request)
+{
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    struct evkeyvalq fields = {0};
+    const struct evkeyval *field;
+    int status = HTTP_OK;
+
+    TAILQ_INIT(&fields);
+    if (query == NULL || evhttp_parse_query_str(query, &fields) != 0) {
+        reply(request, HTTP_BADREQUEST, "no setting\n");
+        return;
     }
-    work->timer = event_new(self->base, -1, 0, work_done, work);
-    event_add(work->timer, &delay);
+    TAILQ_FOREACH(field, &fields, next)
+    {
+        if (!GbSettings_Set(settings_table, G_N_ELEMENTS(settings_table),
+                            PROGRAM, field->key, field->value, self, stderr)) {
+            status = HTTP_BADREQUEST;
+        }
+    }
+    evhttp_clear_headers(&fields);
+    reply(request, status, status == HTTP_OK ? "ok\n" : "refused\n");
 }
 
 static void
@@ -104,14 +191,16 @@
         evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
 
     if (path != NULL && strncmp(path, prefix, strlen(prefix)) == 0) {
-        operate(self, request, path + strlen(prefix));
+        GbTargetJobs_Submit(&self->jobs, request, path + strlen(prefix));
     }
     else if (path != NULL && strcmp(path, "/health") == 0) {
-        struct evbuffer *body = evbuffer_new();
-
-        evbuffer_add_printf(body, "{\"state\":\"ok\"}");
-        evhttp_send_reply(request, HTTP_OK, "OK", body);
-        evbuffer_free(body);
+        report_health(self, request);
+    }
+    else if (path != NULL && strcmp(path, "/load") == 0) {
+        report_load(self, request);
+    }
+    else if (path != NULL && strcmp(path, "/mode") == 0) {
+        change_mode(self, request);
     }
     else {
         evhttp_send_error(request, HTTP_NOTFOUND, NULL);
@@ -137,38 +226,58 @@
     return ntohs(system.sin_port);
 }
 
+static bool
+open_http(struct Target *self)
+{
+    struct evhttp_bound_socket *socket;
+    char text[GB_ADDRESS_TEXT_BYTES];
+
+    self->http = evhttp_new(self->base);
+    evhttp_set_max_body_size(self->http, BODY_BYTES_MAX);
+    evhttp_set_gencb(self->http, received, self);
+    GbAddress_Format(&self->listen, text);
+    *strchr(text, ':') = '\0';
+    socket =
+        evhttp_bind_socket_with_handle(self->http, text, self->listen.port);
+    if (socket == NULL) {
+        fprintf(stderr, "%s: no HTTP server\n", PROGRAM);
+        return false;
+    }
+    printf("port=%u\n", (unsigned)bound_port(socket));
+    fflush(stdout);
+    return true;
+}
+
 int
 main(int argc, char **argv)
 {
+    static const struct timeval period = {0, SAMPLE_MS * US_PER_MS};
+    /* Reachable at the end, since open requests are not freed one by one. */
     static struct Target target;
-    struct evhttp_bound_socket *socket;
-    struct evhttp *http;
+    enum GbTransportStatus status =
+        GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
+                        argc, argv, &target, stderr);
     struct event *term;
-    char text[GB_ADDRESS_TEXT_BYTES];
+    struct event *sampler;
 
-    if (GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
-                        argc, argv, &target, stderr) != GB_TRANSPORT_OK) {
-        return GB_EXIT_USAGE;
+    if (status != GB_TRANSPORT_OK) {
+        return status == GB_TRANSPORT_INFORMATION ? GB_EXIT_DONE
+                                                  : GB_EXIT_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
     target.base = event_base_new();
-    http = evhttp_new(target.base);
-    evhttp_set_max_body_size(http, BODY_BYTES_MAX);
-    evhttp_set_gencb(http, received, &target);
-    GbAddress_Format(&target.listen, text);
-    *strchr(text, ':') = '\0';
-    socket = evhttp_bind_socket_with_handle(http, text, target.listen.port);
-    if (socket == NULL) {
-        fprintf(stderr, "%s: no HTTP server\n", PROGRAM);
+    GbSystemClock_Init(&target.clock);
+    GbTargetJobs_Init(&target.jobs, target.base, &target.clock.super,
+                      &target.mode);
+    if (!open_http(&target)) {
         return GB_EXIT_FAILED;
     }
-    printf("port=%u\n", (unsigned)bound_port(socket));
-    fflush(stdout);
     term = evsignal_new(target.base, SIGTERM, stop, target.base);
     event_add(term, NULL);
+    sampler = event_new(target.base, -1, EV_PERSIST, sample_due, &target);
+    event_add(sampler, &period);
     event_base_dispatch(target.base);
     event_free(term);
-    evhttp_free(http);
-    event_base_free(target.base);
+    event_free(sampler);
     return GB_EXIT_DONE;
 }
