--- a/src/transport/status.h
+++ b/src/transport/status.h
@@ -8,7 +8,11 @@
     /* The command line or environment asks for help or version only. */
     GB_TRANSPORT_INFORMATION,
     GB_TRANSPORT_INVALID_SETTING,
-    GB_TRANSPORT_UNREACHABLE
+    GB_TRANSPORT_UNREACHABLE,
+    /* A bound is reached; nothing was done. */
+    GB_TRANSPORT_LIMIT,
+    GB_TRANSPORT_TOO_LARGE,
+    GB_TRANSPORT_NO_SESSION
 };
 
 #endif
