Count only open requests against the limit of a flow

An agent keeps the record of an answer for a second after it was fetched, and counted these records against the 16 requests that a flow may have. Only requests whose answer may still be needed count now; REQUESTS_MAX bounds the records as before.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -4,7 +4,9 @@
 #include "coordination/reply.h"
 
 #define US_PER_MS 1000
-/* Requests that one flow may have at an agent at once. */
+/* Requests that one flow may have at an agent at once. Those that are kept
+ * for repeats only don't count: they stay for a second, and a session may make
+ * many calls in that time. */
 #define FLOW_REQUESTS_MAX 16
 /* Request records that an agent holds, with the retained answers. */
 #define REQUESTS_MAX 16384
@@ -44,8 +46,7 @@
     if ((!GbSlots_HasRoom(&agent->slots, operation->work_class) &&
          !GbSlots_MayQueue(&agent->slots, operation->work_class)) ||
         agent->request_count >= REQUESTS_MAX ||
-        (flow != NULL &&
-         g_slist_length(flow->requests) >= FLOW_REQUESTS_MAX)) {
+        (flow != NULL && GbFlow_OpenRequests(flow) >= FLOW_REQUESTS_MAX)) {
         GbCounters_Add(agent->counters, GB_COUNTER_QUEUE_REFUSED, 1);
         return GB_NOT_RUN_BUSY;
     }
--- a/src/state/flow.c
+++ b/src/state/flow.c
@@ -80,3 +80,14 @@
     }
     return NULL;
 }
+
+uint32_t
+GbFlow_OpenRequests(const struct GbFlow *self)
+{
+    uint32_t count = 0;
+
+    for (const GSList *link = self->requests; link; link = link->next) {
+        count += GbRequest_IsOpen(link->data);
+    }
+    return count;
+}
--- a/src/state/flow.h
+++ b/src/state/flow.h
@@ -52,4 +52,8 @@
 /* Request record by id; NULL if there is none. */
 struct GbRequest *GbFlow_Request(const struct GbFlow *self, uint32_t id);
 
+/* Requests whose answer the caller may still need. Those that have failed or
+ * whose answer was fetched whole are remembered only for repeats. */
+uint32_t GbFlow_OpenRequests(const struct GbFlow *self);
+
 #endif
--- a/src/state/request.c
+++ b/src/state/request.c
@@ -35,6 +35,15 @@
            self->state == GB_REQUEST_ANSWERING;
 }
 
+bool
+GbRequest_IsOpen(const struct GbRequest *self)
+{
+    if (self->state == GB_REQUEST_FINISHED) {
+        return self->answer.begin < self->answer.end;
+    }
+    return self->state != GB_REQUEST_FAILED;
+}
+
 bool
 GbRequest_AddWaiter(struct GbRequest *self, const struct GbWaiter *waiter)
 {
--- a/src/state/request.h
+++ b/src/state/request.h
@@ -68,6 +68,9 @@
 /* Whether the target has been given the request and has not finished. */
 bool GbRequest_IsAtTarget(const struct GbRequest *self);
 
+/* Whether the caller may still need the answer. */
+bool GbRequest_IsOpen(const struct GbRequest *self);
+
 /* Remembers a FETCH. Returns false when too many wait. */
 bool GbRequest_AddWaiter(struct GbRequest *self,
                          const struct GbWaiter *waiter);
--- /dev/null
+++ b/tests/test_flow.c
@@ -0,0 +1,60 @@
+#include "state/flow.h"
+
+#include <glib.h>
+
+#include "state/request.h"
+
+#define ANSWER_BYTES 100
+
+struct OpenCase {
+    const char *name;
+    enum GbRequestState state;
+    uint32_t answer_bytes;
+    uint32_t acknowledged_bytes;
+    uint32_t expected;
+};
+
+static const struct OpenCase open_cases[] = {
+    {"queued", GB_REQUEST_QUEUED, 0, 0, 1},
+    {"running", GB_REQUEST_RUNNING, 0, 0, 1},
+    {"answering", GB_REQUEST_ANSWERING, ANSWER_BYTES, ANSWER_BYTES, 1},
+    {"finished, nothing fetched", GB_REQUEST_FINISHED, ANSWER_BYTES, 0, 1},
+    {"finished, fetched in part", GB_REQUEST_FINISHED, ANSWER_BYTES, 99, 1},
+    {"finished, fetched whole", GB_REQUEST_FINISHED, ANSWER_BYTES,
+     ANSWER_BYTES, 0},
+    {"failed", GB_REQUEST_FAILED, 0, 0, 0},
+};
+
+/* Guards against sessions that are refused as busy because of answers that
+ * they have already fetched. */
+static void
+test_open_requests(void)
+{
+    static const struct GbOperation operation = {.name = "check", .id = 1};
+    static const uint8_t data[ANSWER_BYTES];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(open_cases); i++) {
+        const struct OpenCase *row = &open_cases[i];
+        struct GbFlow flow = {0};
+        struct GbBytes body = {data, 1};
+        struct GbBytes answer = {data, row->answer_bytes};
+        struct GbRequest *request = GbRequest_New(&flow, 1, &operation, body);
+
+        g_test_message("%s", row->name);
+        flow.requests = g_slist_prepend(NULL, request);
+        request->state = row->state;
+        g_assert_true(GbAnswer_Append(&request->answer, answer));
+        GbAnswer_Acknowledge(&request->answer, row->acknowledged_bytes);
+        g_assert_cmpuint(GbFlow_OpenRequests(&flow), ==, row->expected);
+        g_slist_free(flow.requests);
+        GbRequest_Free(request);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/flow/open_requests", test_open_requests);
+    return g_test_run();
+}
