Count a session's open calls in the caller's task

The task read the count of open calls from the caller's flow; it keeps its own now, so that it does not depend on the caller's inner state. tests/test_caller_task passes.

--- a/src/transport/caller_task.c
+++ b/src/transport/caller_task.c
@@ -40,6 +40,7 @@
     uint64_t id;
     /* Is closed when its last call ends. */
     bool is_closing;
+    uint32_t open_calls;
     struct GbCallerFlow flow;
 };
 
@@ -70,7 +71,7 @@
 static void
 close_if_done(struct GbCallerTask *self, struct Session *session)
 {
-    if (session->is_closing && session->flow.open_calls == 0) {
+    if (session->is_closing && session->open_calls == 0) {
         GbCaller_CloseFlow(&self->caller, &session->flow);
         g_hash_table_remove(self->flows, &session->id);
     }
@@ -89,6 +90,7 @@
     outcome->answer =
         g_memdup2(result->answer.data, result->answer.size_bytes);
     outcome->result.answer.data = outcome->answer;
+    call->session->open_calls--;
     close_if_done(self, call->session);
     g_hash_table_remove(self->calls, call);
     g_async_queue_push(self->outcomes, outcome);
@@ -131,6 +133,7 @@
     call->tag = mail->tag;
     call->session = session_of(self, mail->session);
     call->session->is_closing = mail->is_single;
+    call->session->open_calls++;
     g_hash_table_add(self->calls, call);
     GbCaller_Call(&self->caller, &call->session->flow, mail->operation, body,
                   call);
