Write log lines without the appender's name

The stream types of log4c put the appender's name before each line, so a log line began with [guavabend_stderr] instead of time=. The output of a balancer and an agent in the process tests shows it.

--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -1,7 +1,6 @@
 #include "transport/log.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,6 +40,17 @@
 
 static const log4c_layout_type_t line_layout = {"guavabend_line", format_line};
 
+/* The stream types of log4c put the appender's name before each line. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    return fputs(event->evt_rendered_msg, stderr) >= 0 ? 0 : -1;
+}
+
+static const log4c_appender_type_t line_appender = {.name = "guavabend_line",
+                                                    .append = append_line};
+
 bool
 GbLog_Init(const char *program, const char *level)
 {
@@ -56,11 +66,9 @@
         log4c_layout_type_set(&line_layout);
         layout = log4c_layout_get("guavabend_line");
         log4c_layout_set_type(layout, &line_layout);
-        /* The type "stream" would put the appender's name before each
-         * line. */
+        log4c_appender_type_set(&line_appender);
         appender = log4c_appender_get("guavabend_stderr");
-        log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
-        log4c_stream2_set_fp(appender, stderr);
+        log4c_appender_set_type(appender, &line_appender);
         log4c_appender_set_layout(appender, layout);
         category = log4c_category_get(program);
         log4c_category_set_appender(category, appender);
