--- a/src/programs/command_call.c
+++ b/src/programs/command_call.c
@@ -124,8 +124,8 @@
     struct CallSettings settings = {0};
     struct GbDocument *document;
     enum GbTransportStatus status =
-        GbSettings_Load(call_table, G_N_ELEMENTS(call_table), PROGRAM,
-                        argc, argv, &settings, stderr);
+        GbSettings_Load(call_table, G_N_ELEMENTS(call_table), PROGRAM, argc,
+                        argv, &settings, stderr);
     int code;
 
     if (status != GB_TRANSPORT_OK) {
@@ -140,4 +140,3 @@
     GbDocument_Unref(document);
     return code;
 }
-
