--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -73,6 +73,18 @@
                                        "CALLs taken from another agent."},
     [GB_COUNTER_LOAD_ASKS] = {"load_asks_total",
                               "Questions for load sent to pool members."},
+    [GB_COUNTER_WAITING_REFUSED] =
+        {"waiting_refused_total",
+         "CALLs placed here because the table of waiting CALLs was full."},
+    [GB_COUNTER_MEMBERS_EXCESS] =
+        {"members_excess_total",
+         "Agents left out of the pool table, at each instance list."},
+    [GB_COUNTER_MEMBERS_UNLISTED] =
+        {"members_unlisted_total",
+         "Messages of agents that the pool table does not hold."},
+    [GB_COUNTER_DUPLICATES_DROPPED] =
+        {"duplicates_dropped_total",
+         "Duplicates of CALLs that were handed over."},
     [GB_COUNTER_MAILBOX_DROPPED] = {"mailbox_dropped_total",
                                     "Messages refused by a full mailbox."},
     [GB_COUNTER_PLATFORM_CALLS] = {"platform_calls_total",
