Hand busy CALLs over and drain through the pool

Cause: an agent placed every unbound CALL itself, gave a cold target all its slots, and refused all new flows while it was leaving.

Change: - ALIVE once a second to each member; LOAD_ASK, LOAD_REPORT and HANDOVER with a token of flow id 0. An unbound CALL that finds no usable slot free waits up to 2 ms in a table of 256 while three random members are asked. It goes to the least loaded one if that is less loaded than this agent. A full table means that the CALL is placed here. Non-idempotent CALLs take the same way before a token is issued. - The receiver checks the keyed hash of the path and replies through the balancer named in it. - A leaving agent hands unbound CALLs to the least loaded of those that report within 2 ms, else to the least loaded one known. It learns of the leave from SIGTERM, its own entry in the instance list, or the health endpoint; the latter two may be taken back. A flow whose record is newer than the leave is refused with DRAINING from 2 s after it, also in the queue. - Slow start, one slot less for 1 s after a shed answer, refusal when the expected wait exceeds the deadline, and limits divided by the live members. - While the target does not connect the agent reports no capacity and hands unbound CALLs over.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -16,6 +16,10 @@
     if (flow != NULL) {
         GbFlow_SetRefused(flow, message->request_id);
     }
+    else {
+        GbRecentCalls_Add(&agent->recent, message->flow_id,
+                          message->request_id, GB_RECENT_REFUSED);
+    }
     GbReply_NotRun(agent, path, message, reason);
 }
 
@@ -28,16 +32,39 @@
                                      agent->drain_started_us + limit_us;
 }
 
+/* Whether a leaving agent refuses a request of this flow. */
+static bool
+is_refused_by_drain(const struct GbAgent *agent, const struct GbFlow *flow)
+{
+    if (!agent->is_draining) {
+        return false;
+    }
+    if (flow == NULL || is_past_drain(agent)) {
+        return true;
+    }
+    return flow->created_us >= agent->drain_started_us &&
+           GbAgent_IsPastNewFlows(agent, GbClock_MonotonicUs(agent->clock));
+}
+
+static bool
+is_past_deadline(const struct GbAgent *agent,
+                 const struct GbOperation *operation)
+{
+    return GbSlots_ExpectedWaitUs(&agent->slots, operation->work_class) >
+           (int64_t)operation->deadline_ms * US_PER_MS;
+}
+
 /* Reason to refuse a new request here; 0 if there is none. */
 static enum GbNotRunReason
 reason_to_refuse(struct GbAgent *agent, const struct GbFlow *flow,
                  const struct GbOperation *operation)
 {
-    if (agent->is_draining && (flow == NULL || is_past_drain(agent))) {
+    if (is_refused_by_drain(agent, flow)) {
         GbCounters_Add(agent->counters, GB_COUNTER_DRAIN_REFUSED, 1);
         return GB_NOT_RUN_DRAINING;
     }
-    if (flow == NULL && GbFlowTable_IsFull(&agent->flows)) {
+    if ((flow == NULL && GbFlowTable_IsFull(&agent->flows)) ||
+        !GbRateLimit_IsOpen(&agent->rate, GbClock_MonotonicUs(agent->clock))) {
         GbCounters_Add(agent->counters, GB_COUNTER_FLOWS_REFUSED, 1);
         return GB_NOT_RUN_LIMIT;
     }
@@ -49,6 +76,10 @@
         GbCounters_Add(agent->counters, GB_COUNTER_QUEUE_REFUSED, 1);
         return GB_NOT_RUN_BUSY;
     }
+    if (is_past_deadline(agent, operation)) {
+        GbCounters_Add(agent->counters, GB_COUNTER_DEADLINE_REFUSED, 1);
+        return GB_NOT_RUN_DEADLINE;
+    }
     return 0;
 }
 
@@ -61,6 +92,7 @@
                                               operation, message->call.body);
 
     GbFlow_SetSeen(flow, request->id);
+    GbRateLimit_Take(&agent->rate);
     flow->requests = g_slist_prepend(flow->requests, request);
     agent->request_count++;
     request->path = *path;
@@ -100,6 +132,7 @@
         GbService_Operation(agent->service, message->call.operation_id);
     enum GbNotRunReason reason;
 
+    GbSlots_Refresh(&agent->slots, GbClock_MonotonicUs(agent->clock));
     if (operation == NULL) {
         refuse(agent, flow, path, message, GB_NOT_RUN_UNKNOWN_OPERATION);
         return;
@@ -123,6 +156,60 @@
     admit(agent, flow, path, message, operation);
 }
 
+static void
+place_or_repeat(struct GbAgent *agent, struct GbFlow *flow,
+                const struct GbPath *path, const struct GbMessage *message)
+{
+    enum GbRequestMark mark =
+        flow != NULL ? GbFlow_Mark(flow, message->request_id) : GB_MARK_NEW;
+
+    if (mark == GB_MARK_NEW) {
+        place(agent, flow, path, message);
+    }
+    else {
+        repeat(agent, flow, path, message, mark);
+    }
+}
+
+/* Answers an unbound CALL that has left no flow record but was decided about
+ * a moment ago: a duplicate of a refused CALL must not run, and one of a CALL
+ * that was handed over must not be refused here. */
+static bool
+is_known(struct GbAgent *agent, const struct GbPath *path,
+         const struct GbMessage *message)
+{
+    switch (GbRecentCalls_Find(&agent->recent, message->flow_id,
+                               message->request_id)) {
+    case GB_RECENT_REFUSED:
+        GbReply_NotRun(agent, path, message, GB_NOT_RUN_BUSY);
+        return true;
+    case GB_RECENT_HANDED_OVER:
+        GbCounters_Add(agent->counters, GB_COUNTER_DUPLICATES_DROPPED, 1);
+        return true;
+    case GB_RECENT_NONE:
+        break;
+    }
+    return false;
+}
+
+/* Whether another member should be asked to take an unbound CALL. */
+static bool
+should_hand_over(struct GbAgent *agent, const struct GbMessage *message)
+{
+    const struct GbOperation *operation =
+        GbService_Operation(agent->service, message->call.operation_id);
+
+    if (operation == NULL ||
+        GbFlowTable_Find(&agent->flows, message->flow_id) != NULL) {
+        return false;
+    }
+    if (!GbAgent_TakesNewFlows(agent)) {
+        return true;
+    }
+    GbSlots_Refresh(&agent->slots, GbClock_MonotonicUs(agent->clock));
+    return !GbSlots_HasRoom(&agent->slots, operation->work_class);
+}
+
 struct GbFlow *
 GbAdmission_Flow(struct GbAgent *agent, const struct GbPath *path,
                  const struct GbMessage *message, bool may_add)
@@ -154,22 +241,34 @@
 {
     struct GbFlow *flow;
 
-    if (message->has_token) {
-        flow = GbAdmission_Flow(agent, path, message, true);
-        if (flow == NULL) {
-            return;
+    if (!message->has_token) {
+        if (!is_known(agent, path, message) &&
+            !(should_hand_over(agent, message) &&
+              GbHandover_Take(agent, path, message))) {
+            GbAdmission_Place(agent, path, message);
         }
+        return;
     }
-    else {
-        flow = GbFlowTable_Find(&agent->flows, message->flow_id);
-    }
+    flow = GbAdmission_Flow(agent, path, message, true);
     if (flow != NULL) {
-        enum GbRequestMark mark = GbFlow_Mark(flow, message->request_id);
+        place_or_repeat(agent, flow, path, message);
+    }
+}
 
-        if (mark != GB_MARK_NEW) {
-            repeat(agent, flow, path, message, mark);
-            return;
-        }
+void
+GbAdmission_HandedOver(struct GbAgent *agent, const struct GbPath *path,
+                       const struct GbMessage *message)
+{
+    if (!is_known(agent, path, message)) {
+        GbAdmission_Place(agent, path, message);
     }
-    place(agent, flow, path, message);
+}
+
+void
+GbAdmission_Place(struct GbAgent *agent, const struct GbPath *path,
+                  const struct GbMessage *message)
+{
+    struct GbFlow *flow = GbFlowTable_Find(&agent->flows, message->flow_id);
+
+    place_or_repeat(agent, flow, path, message);
 }
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -15,4 +15,13 @@
                                 const struct GbPath *path,
                                 const struct GbMessage *message, bool may_add);
 
+/* Handles an unbound CALL that another agent has handed over. It is placed
+ * here: a CALL is handed over at most once. */
+void GbAdmission_HandedOver(struct GbAgent *agent, const struct GbPath *path,
+                            const struct GbMessage *message);
+
+/* Places an unbound CALL here: binds its flow, or admits or refuses it. */
+void GbAdmission_Place(struct GbAgent *agent, const struct GbPath *path,
+                       const struct GbMessage *message);
+
 #endif
--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -4,10 +4,16 @@
 
 #include "coordination/admission.h"
 #include "coordination/delivery.h"
+#include "coordination/membership.h"
 #include "coordination/reply.h"
 
 /* A caller binds anew after 120 s without use, well before this. */
 #define FLOW_IDLE_US INT64_C(300000000)
+#define US_PER_MS 1000
+/* ALIVE goes out once a second, with a tenth of jitter to either side, so
+ * that the members of a pool do not send in step. */
+#define ALIVE_MIN_US 900000
+#define ALIVE_JITTER_US 200000
 
 static bool
 is_for_this_agent(struct GbAgent *self, const struct GbMessage *message)
@@ -97,6 +103,59 @@
     }
 }
 
+/* Share of a limit over all live agents of the pool. A limit of 0 stays 0;
+ * otherwise every agent may hold one. */
+static uint32_t
+share_of(uint32_t limit, uint32_t shares)
+{
+    return limit == 0 ? 0 : MAX(limit / shares, 1);
+}
+
+static void
+set_limits(struct GbAgent *self, int64_t now_us)
+{
+    const struct GbLimits *limits = &self->service->limits;
+    uint32_t shares = GbPool_Shares(&self->pool, now_us);
+
+    self->flows.limit = share_of(limits->flows, shares);
+    self->slots.queue_limit = share_of(limits->queue, shares);
+    GbRateLimit_SetRate(&self->rate, share_of(limits->rate_per_s, shares),
+                        now_us);
+}
+
+/* Sets or clears one cause of leaving. A drain that has started goes on until
+ * all causes have gone. */
+static void
+set_drain_cause(struct GbAgent *self, enum GbDrainCause cause, bool is_set)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    bool was_draining = self->is_draining;
+
+    if (is_set) {
+        self->drain_causes |= (uint32_t)cause;
+    }
+    else {
+        self->drain_causes &= ~(uint32_t)cause;
+    }
+    self->is_draining = self->drain_causes != 0;
+    if (self->is_draining == was_draining) {
+        return;
+    }
+    if (self->is_draining) {
+        self->drain_started_us = now_us;
+    }
+    /* Members learn at once what their next hand-over depends on. */
+    GbMembership_SendAlive(self);
+}
+
+static void
+send_alive(struct GbAgent *self, int64_t now_us)
+{
+    self->alive_us = now_us + ALIVE_MIN_US +
+                     GbRandom_Below(self->random, ALIVE_JITTER_US + 1);
+    GbMembership_SendAlive(self);
+}
+
 void
 GbAgent_Init(struct GbAgent *self, const struct GbAgentConfig *config,
              struct GbAgentPort *port, struct GbClock *clock,
@@ -112,6 +171,11 @@
     GbFlowTable_Init(&self->flows, 0);
     GbSlots_Init(&self->slots, 1, 0);
     GbTimerQueue_Init(&self->timers);
+    GbPool_Init(&self->pool);
+    GbHandover_Init(&self->handover);
+    GbRecentCalls_Init(&self->recent);
+    GbTargetState_Init(&self->target);
+    self->alive_us = GB_TIMER_NEVER;
 }
 
 void
@@ -130,6 +194,8 @@
         }
         GbFlowTable_Remove(&self->flows, flow);
     }
+    GbHandover_Finish(&self->handover);
+    GbRecentCalls_Finish(&self->recent);
     GbFlowTable_Finish(&self->flows);
     GbTimerQueue_Finish(&self->timers);
     g_hash_table_destroy(self->works);
@@ -139,15 +205,34 @@
 void
 GbAgent_SetView(struct GbAgent *self, struct GbView *view)
 {
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    bool is_first = self->service == NULL;
+    const struct GbInstance *own =
+        GbInstanceList_Find(view->list, self->config.instance_id);
+
     GbView_Unref(self->view);
     self->view = view;
     self->service =
         GbDocument_ServiceByName(view->document, self->config.service);
-    if (self->service != NULL) {
-        self->flows.limit = self->service->limits.flows;
-        self->slots.usable = self->service->slots;
-        self->slots.queue_limit = self->service->limits.queue;
+    if (self->service == NULL) {
+        /* Callers repeat what was waiting; nothing can be placed now. */
+        GbHandover_Finish(&self->handover);
+        self->alive_us = GB_TIMER_NEVER;
+        return;
+    }
+    GbPool_SetList(&self->pool, view->list, self->config.service,
+                   self->config.instance_id, now_us, self->counters);
+    if (is_first) {
+        GbRateLimit_Init(&self->rate, self->service->limits.rate_per_s,
+                         now_us);
+        GbSlots_StartRamp(&self->slots, now_us);
+        send_alive(self, now_us);
     }
+    set_limits(self, now_us);
+    GbSlots_SetTotal(&self->slots, self->service->slots,
+                     self->service->ramp_ms, now_us);
+    set_drain_cause(self, GB_DRAIN_INSTANCE_LIST,
+                    own != NULL && own->is_leaving);
     GbDelivery_Pump(self);
 }
 
@@ -187,28 +272,60 @@
 GbAgent_ReceiveMember(struct GbAgent *self, const struct GbAddress *from,
                       const struct GbMessage *message)
 {
-    (void)from;
-    (void)message;
-    GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+    GbMembership_Receive(self, from, message);
 }
 
 void
-GbAgent_Drain(struct GbAgent *self)
+GbAgent_TargetHealth(struct GbAgent *self, enum GbTargetHealth health)
 {
-    if (!self->is_draining) {
-        self->is_draining = true;
-        self->drain_started_us = GbClock_MonotonicUs(self->clock);
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    if (GbTargetState_SetHealth(&self->target, health, now_us)) {
+        GbSlots_StartRamp(&self->slots, now_us);
+    }
+    if (health == GB_HEALTH_LEAVING) {
+        set_drain_cause(self, GB_DRAIN_HEALTH, true);
     }
+    else if (health == GB_HEALTH_OK || health == GB_HEALTH_STARTING) {
+        set_drain_cause(self, GB_DRAIN_HEALTH, false);
+    }
+}
+
+void
+GbAgent_TargetLoad(struct GbAgent *self, uint32_t slots)
+{
+    GbSlots_Report(&self->slots, slots, GbClock_MonotonicUs(self->clock));
+    GbDelivery_Pump(self);
+}
+
+void
+GbAgent_Drain(struct GbAgent *self)
+{
+    set_drain_cause(self, GB_DRAIN_STOP, true);
+}
+
+bool
+GbAgent_TakesNewFlows(const struct GbAgent *self)
+{
+    return !self->is_draining && !self->target.is_down;
+}
+
+bool
+GbAgent_IsPastNewFlows(const struct GbAgent *self, int64_t now_us)
+{
+    return self->is_draining &&
+           now_us - self->drain_started_us >= GB_DRAIN_NEW_FLOW_US;
 }
 
 bool
 GbAgent_IsDrained(const struct GbAgent *self)
 {
     int64_t limit_us = self->service != NULL
-                           ? (int64_t)self->service->drain_flow_ms * 1000
+                           ? (int64_t)self->service->drain_flow_ms * US_PER_MS
                            : 0;
 
     return self->is_draining && self->request_count == 0 &&
+           self->handover.waiting.length == 0 &&
            GbClock_MonotonicUs(self->clock) >=
                self->drain_started_us + limit_us;
 }
@@ -219,7 +336,8 @@
     struct GbLoad load = {
         .running = GbSlots_Running(&self->slots),
         .queued = GbSlots_Queued(&self->slots),
-        .capacity = self->slots.usable,
+        /* Members must not hand over to a target that does not connect. */
+        .capacity = self->target.is_down ? 0 : self->slots.usable,
         .is_draining = self->is_draining,
     };
 
@@ -235,6 +353,11 @@
     if (oldest != NULL) {
         next_us = MIN(next_us, oldest->last_used_us + FLOW_IDLE_US);
     }
+    next_us = MIN(next_us, self->alive_us);
+    next_us = MIN(next_us, GbHandover_NextTimerUs(&self->handover));
+    if (GbSlots_Queued(&self->slots) > 0) {
+        next_us = MIN(next_us, GbSlots_NextChangeUs(&self->slots));
+    }
     return next_us;
 }
 
@@ -247,5 +370,11 @@
     while ((request = GbTimerQueue_TakeDue(&self->timers, now_us)) != NULL) {
         GbDelivery_TimerDue(self, request, now_us);
     }
+    GbHandover_Tick(self, now_us);
+    if (now_us >= self->alive_us) {
+        set_limits(self, now_us);
+        send_alive(self, now_us);
+    }
+    GbDelivery_Pump(self);
     expire_flows(self, now_us);
 }
--- a/src/coordination/agent.h
+++ b/src/coordination/agent.h
@@ -2,17 +2,35 @@
 #define GB_COORDINATION_AGENT_H
 
 #include "coordination/agent_port.h"
+#include "coordination/handover.h"
+#include "coordination/pool.h"
+#include "coordination/rate_limit.h"
 #include "coordination/slots.h"
+#include "coordination/target_state.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/flow_table.h"
 #include "state/random.h"
+#include "state/recent_calls.h"
 #include "state/timer_queue.h"
 #include "state/view.h"
 
 /* Time from the issue of a token within which it may make a flow record. */
 #define GB_TOKEN_FIRST_USE_MS 10000
 
+/* From this time on, no flow that is new since the leave reaches the target
+ * of a leaving agent. */
+#define GB_DRAIN_NEW_FLOW_US INT64_C(2000000)
+
+/* How an agent learns that it is leaving. Bits of one word: it stays while
+ * any of them holds. */
+enum GbDrainCause {
+    /* The process was told to stop. It does not end. */
+    GB_DRAIN_STOP = 1,
+    GB_DRAIN_INSTANCE_LIST = 2,
+    GB_DRAIN_HEALTH = 4
+};
+
 /* How work at the target ended. */
 enum GbTargetEnd {
     /* The answer is complete. */
@@ -51,6 +69,14 @@
     GHashTable *works;
     uint64_t last_work_id;
     uint32_t request_count;
+    struct GbPool pool;
+    struct GbHandover handover;
+    struct GbRecentCalls recent;
+    struct GbTargetState target;
+    struct GbRateLimit rate;
+    int64_t alive_us;
+    /* Bits of GbDrainCause. */
+    uint32_t drain_causes;
     bool is_draining;
     int64_t drain_started_us;
 };
@@ -84,9 +110,22 @@
 void GbAgent_TargetEnded(struct GbAgent *self, uint64_t work_id,
                          enum GbTargetEnd end);
 
+/* The health endpoint of the target has been read. */
+void GbAgent_TargetHealth(struct GbAgent *self, enum GbTargetHealth health);
+
+/* The load endpoint of the target has been read. slots is 0 if unknown. */
+void GbAgent_TargetLoad(struct GbAgent *self, uint32_t slots);
+
 /* The instance is leaving: from now on new flows go elsewhere. */
 void GbAgent_Drain(struct GbAgent *self);
 
+/* Whether new flows may be placed here: the agent is not leaving and its
+ * target takes connections. */
+bool GbAgent_TakesNewFlows(const struct GbAgent *self);
+
+/* Whether the drain is so far that no new flow may reach the target. */
+bool GbAgent_IsPastNewFlows(const struct GbAgent *self, int64_t now_us);
+
 /* Whether a draining agent has nothing left to do. */
 bool GbAgent_IsDrained(const struct GbAgent *self);
 
--- a/src/coordination/delivery.c
+++ b/src/coordination/delivery.c
@@ -30,6 +30,22 @@
     GbSlots_Stop(&agent->slots, request->work_class);
 }
 
+static void
+observe(struct GbAgent *agent, const struct GbRequest *request, int64_t now_us)
+{
+    GbSlots_Observe(&agent->slots, request->work_class,
+                    now_us - request->started_us);
+}
+
+/* The target has answered. */
+static void
+note_success(struct GbAgent *agent, int64_t now_us)
+{
+    if (GbTargetState_Succeeded(&agent->target, now_us)) {
+        GbSlots_StartRamp(&agent->slots, now_us);
+    }
+}
+
 static void
 refuse_admitted(struct GbAgent *agent, struct GbRequest *request,
                 enum GbNotRunReason reason)
@@ -81,6 +97,13 @@
         GbService_Operation(agent->service, request->operation_id);
     struct GbTargetCall call = {0};
 
+    if (request->flow->created_us >= agent->drain_started_us &&
+        GbAgent_IsPastNewFlows(agent, now_us)) {
+        GbCounters_Add(agent->counters, GB_COUNTER_DRAIN_REFUSED, 1);
+        refuse_admitted(agent, request, GB_NOT_RUN_DRAINING);
+        return;
+    }
+
     if (operation == NULL) {
         /* A newer document has dropped the operation while it was queued. */
         refuse_admitted(agent, request, GB_NOT_RUN_UNKNOWN_OPERATION);
@@ -139,6 +162,7 @@
 {
     struct GbRequest *request;
 
+    GbSlots_Refresh(&agent->slots, GbClock_MonotonicUs(agent->clock));
     while (agent->service != NULL &&
            (request = GbSlots_Dequeue(&agent->slots)) != NULL) {
         /* Read for each request: a process that was paused wakes up late. */
@@ -227,6 +251,8 @@
         break;
     case GB_REQUEST_RUNNING:
         if (now_us >= request->deadline_us) {
+            /* The work takes at least so long. */
+            observe(agent, request, now_us);
             cancel_and_fail(agent, request, GB_UNKNOWN_DEADLINE_PASSED);
             break;
         }
@@ -260,13 +286,15 @@
                        uint16_t target_status)
 {
     struct GbRequest *request = find_work(self, work_id);
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
 
     if (request == NULL) {
         return;
     }
+    note_success(self, now_us);
     request->state = GB_REQUEST_ANSWERING;
     request->answer.target_status = target_status;
-    set_timer(self, request, GbClock_MonotonicUs(self->clock) + STALL_US);
+    set_timer(self, request, now_us + STALL_US);
 }
 
 void
@@ -297,12 +325,14 @@
                     enum GbTargetEnd end)
 {
     struct GbRequest *request = find_work(self, work_id);
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
 
     if (request == NULL) {
         return;
     }
     switch (end) {
     case GB_TARGET_WHOLE:
+        observe(self, request, now_us);
         leave_target(self, request);
         request->state = GB_REQUEST_FINISHED;
         GbAnswer_Complete(&request->answer);
@@ -311,16 +341,20 @@
             GbReply_Data(self, request, &request->path, 0, GB_RANGE_BYTES);
         }
         serve_waiters(self, request);
-        set_timer(self, request,
-                  GbClock_MonotonicUs(self->clock) + RETENTION_US);
+        set_timer(self, request, now_us + RETENTION_US);
         GbDelivery_Pump(self);
         break;
     case GB_TARGET_NOT_STARTED:
+        GbTargetState_NotStarted(&self->target, now_us);
+        leave_target(self, request);
+        refuse_admitted(self, request, GB_NOT_RUN_BUSY);
+        GbDelivery_Pump(self);
+        break;
     case GB_TARGET_SHED:
+        note_success(self, now_us);
+        GbSlots_Shed(&self->slots, now_us);
         leave_target(self, request);
-        refuse_admitted(self, request,
-                        end == GB_TARGET_SHED ? GB_NOT_RUN_SHED
-                                              : GB_NOT_RUN_BUSY);
+        refuse_admitted(self, request, GB_NOT_RUN_SHED);
         GbDelivery_Pump(self);
         break;
     case GB_TARGET_FAILED:
--- /dev/null
+++ b/src/coordination/handover.c
@@ -0,0 +1,229 @@
+#include "coordination/handover.h"
+
+#include <string.h>
+
+#include "coordination/admission.h"
+#include "coordination/membership.h"
+
+/* Longer than a round trip between two data centres of the agency, and a
+ * tenth of the time of short work. */
+#define WAIT_US INT64_C(2000)
+
+struct WaitingCall {
+    uint32_t ask_id;
+    int64_t due_us;
+    struct GbPath path;
+    struct GbMessage message;
+    uint8_t body[GB_CALL_BODY_BYTES];
+    uint32_t asked;
+    /* Instances that have reported, and the least loaded of them. */
+    uint64_t reported_ids[GB_POOL_ASKED_MAX];
+    uint32_t reported;
+    uint64_t best_id;
+    struct GbLoad best_load;
+    GList link;
+};
+
+static struct WaitingCall *
+find_by_ask(const struct GbHandover *self, uint32_t ask_id)
+{
+    for (GList *link = self->waiting.head; link; link = link->next) {
+        struct WaitingCall *call = link->data;
+
+        if (call->ask_id == ask_id) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_waiting(const struct GbHandover *self, const struct GbMessage *message)
+{
+    for (GList *link = self->waiting.head; link; link = link->next) {
+        const struct WaitingCall *call = link->data;
+
+        if (call->message.flow_id == message->flow_id &&
+            call->message.request_id == message->request_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+remove_call(struct GbHandover *self, struct WaitingCall *call)
+{
+    g_queue_unlink(&self->waiting, &call->link);
+    g_free(call);
+}
+
+static struct WaitingCall *
+add_call(struct GbHandover *self, const struct GbPath *path,
+         const struct GbMessage *message, int64_t now_us)
+{
+    struct WaitingCall *call = g_new0(struct WaitingCall, 1);
+
+    call->ask_id = ++self->last_ask_id;
+    call->due_us = now_us + WAIT_US;
+    call->path = *path;
+    call->message = *message;
+    if (message->call.body.size_bytes > 0) {
+        memcpy(call->body, message->call.body.data,
+               message->call.body.size_bytes);
+    }
+    call->message.call.body.data = call->body;
+    call->link.data = call;
+    g_queue_push_tail_link(&self->waiting, &call->link);
+    return call;
+}
+
+static void
+hand_over(struct GbAgent *agent, const struct WaitingCall *call,
+          struct GbMember *member)
+{
+    struct GbMessage handover = call->message;
+
+    handover.kind = GB_MESSAGE_HANDOVER;
+    handover.handover.path = call->path;
+    handover.handover.call = call->message.call;
+    GbCounters_Add(agent->counters, GB_COUNTER_HANDOVERS_SENT, 1);
+    GbRecentCalls_Add(&agent->recent, handover.flow_id, handover.request_id,
+                      GB_RECENT_HANDED_OVER);
+    /* Later CALLs are compared with a load that includes this one. */
+    member->load.queued++;
+    GbMembership_Send(agent, &member->address, &handover);
+}
+
+/* Member that the CALL goes to; NULL if it stays here. */
+static struct GbMember *
+choose(struct GbAgent *agent, const struct WaitingCall *call, int64_t now_us)
+{
+    struct GbMember *best = NULL;
+    struct GbLoad own = GbAgent_Load(agent);
+
+    if (call->reported > 0) {
+        best = GbPool_Find(&agent->pool, call->best_id);
+    }
+    if (GbAgent_TakesNewFlows(agent)) {
+        return best != NULL && GbMember_IsUsable(best, now_us) &&
+                       GbLoad_Compare(&call->best_load, &own) < 0
+                   ? best
+                   : NULL;
+    }
+    if (best == NULL || !GbMember_IsUsable(best, now_us)) {
+        best = GbPool_LeastLoaded(&agent->pool, now_us);
+    }
+    return best;
+}
+
+static void
+decide(struct GbAgent *agent, struct WaitingCall *call, int64_t now_us)
+{
+    struct GbMember *member = choose(agent, call, now_us);
+
+    if (member != NULL) {
+        hand_over(agent, call, member);
+    }
+    else {
+        GbAdmission_Place(agent, &call->path, &call->message);
+    }
+    remove_call(&agent->handover, call);
+}
+
+void
+GbHandover_Init(struct GbHandover *self)
+{
+    g_queue_init(&self->waiting);
+    self->last_ask_id = 0;
+}
+
+void
+GbHandover_Finish(struct GbHandover *self)
+{
+    while (self->waiting.head != NULL) {
+        remove_call(self, self->waiting.head->data);
+    }
+}
+
+bool
+GbHandover_Take(struct GbAgent *agent, const struct GbPath *path,
+                const struct GbMessage *message)
+{
+    struct GbHandover *self = &agent->handover;
+    struct GbMember *chosen[GB_POOL_ASKED_MAX];
+    struct GbMessage ask = {.kind = GB_MESSAGE_LOAD_ASK};
+    int64_t now_us = GbClock_MonotonicUs(agent->clock);
+    struct WaitingCall *call;
+    uint32_t count;
+
+    if (is_waiting(self, message)) {
+        return true;
+    }
+    if (self->waiting.length >= GB_HANDOVER_WAITING_MAX) {
+        GbCounters_Add(agent->counters, GB_COUNTER_WAITING_REFUSED, 1);
+        return false;
+    }
+    count = GbPool_Choose(&agent->pool, agent->random, now_us, chosen);
+    if (count == 0) {
+        return false;
+    }
+    call = add_call(self, path, message, now_us);
+    call->asked = count;
+    ask.load.ask_id = call->ask_id;
+    ask.load.instance_id = agent->config.instance_id;
+    ask.load.load = GbAgent_Load(agent);
+    for (uint32_t i = 0; i < count; i++) {
+        GbCounters_Add(agent->counters, GB_COUNTER_LOAD_ASKS, 1);
+        GbMembership_Send(agent, &chosen[i]->address, &ask);
+    }
+    return true;
+}
+
+void
+GbHandover_Reported(struct GbAgent *agent, const struct GbMessage *message)
+{
+    uint64_t instance_id = message->token.instance_id;
+    struct WaitingCall *call =
+        find_by_ask(&agent->handover, message->load.ask_id);
+
+    if (call == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < call->reported; i++) {
+        if (call->reported_ids[i] == instance_id) {
+            return;
+        }
+    }
+    if (call->reported == 0 ||
+        GbLoad_Compare(&message->load.load, &call->best_load) < 0) {
+        call->best_id = instance_id;
+        call->best_load = message->load.load;
+    }
+    call->reported_ids[call->reported++] = instance_id;
+    if (call->reported == call->asked) {
+        decide(agent, call, GbClock_MonotonicUs(agent->clock));
+    }
+}
+
+void
+GbHandover_Tick(struct GbAgent *agent, int64_t now_us)
+{
+    while (agent->handover.waiting.head != NULL) {
+        struct WaitingCall *call = agent->handover.waiting.head->data;
+
+        if (call->due_us > now_us) {
+            break;
+        }
+        decide(agent, call, now_us);
+    }
+}
+
+int64_t
+GbHandover_NextTimerUs(const struct GbHandover *self)
+{
+    const struct WaitingCall *oldest =
+        self->waiting.head != NULL ? self->waiting.head->data : NULL;
+
+    return oldest != NULL ? oldest->due_us : GB_TIMER_NEVER;
+}
--- /dev/null
+++ b/src/coordination/membership.h
@@ -0,0 +1,19 @@
+#ifndef GB_COORDINATION_MEMBERSHIP_H
+#define GB_COORDINATION_MEMBERSHIP_H
+
+#include "coordination/agent.h"
+
+/* Messages between the agents of one pool. */
+
+/* Sends a message with a token of flow id 0, which proves membership. */
+void GbMembership_Send(struct GbAgent *agent, const struct GbAddress *to,
+                       struct GbMessage *message);
+
+/* Sends ALIVE to every member. */
+void GbMembership_SendAlive(struct GbAgent *agent);
+
+/* Handles a message of another agent of the pool. */
+void GbMembership_Receive(struct GbAgent *agent, const struct GbAddress *from,
+                          const struct GbMessage *message);
+
+#endif
--- a/src/protocol/agent_wire.c
+++ b/src/protocol/agent_wire.c
@@ -149,6 +149,12 @@
         self->listener->klass->heard(self->listener, from, &message.revision);
     }
     else if (is_from_member(&message)) {
+        if (message.kind == GB_MESSAGE_HANDOVER &&
+            !GbKeys_IsPathValid(self->keys, &message.handover.path.caller,
+                                message.handover.path.tag)) {
+            GbRefusal_Count(self->counters, GB_PROTOCOL_FORGED_PATH);
+            return;
+        }
         GbAgent_ReceiveMember(self->agent, from, &message);
     }
     else {
--- a/src/state/flow.h
+++ b/src/state/flow.h
@@ -28,6 +28,7 @@
     uint64_t id;
     /* Issue time of the tokens of this flow. */
     uint64_t issued_ms;
+    int64_t created_us;
     int64_t last_used_us;
     uint32_t highest_id;
     uint64_t seen_bits;
--- a/src/state/flow_table.c
+++ b/src/state/flow_table.c
@@ -54,6 +54,7 @@
     flow = g_new0(struct GbFlow, 1);
     flow->id = flow_id;
     flow->issued_ms = issued_ms;
+    flow->created_us = now_us;
     flow->last_used_us = now_us;
     flow->link.data = flow;
     g_hash_table_insert(self->by_id, &flow->id, flow);
--- /dev/null
+++ b/tests/support/agent_fixture.c
@@ -0,0 +1,382 @@
+#include "support/agent_fixture.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define START_US INT64_C(1000000000)
+#define LARGE 100000
+#define SEED 5
+#define AGENTS_NETWORK 0x0a000000
+#define AGENT_PORT 7000
+#define OPERATION_COUNT 3
+#define SHORT_DEADLINE_MS 1000
+#define LONG_DEADLINE_MS 30000
+
+static const struct GbPath caller_path = {
+    .caller = {0x7f000001, 5000},
+    .tag = 99,
+    .balancer = {0x7f000002, 6000},
+};
+
+static const struct GbOperation operations[OPERATION_COUNT] = {
+    {"look", FIXTURE_LOOK, GB_CLASS_SHORT, true, SHORT_DEADLINE_MS, 1 << 20},
+    {"buy", FIXTURE_BUY, GB_CLASS_SHORT, false, SHORT_DEADLINE_MS, 1 << 20},
+    {"pack", FIXTURE_PACK, GB_CLASS_LONG, true, LONG_DEADLINE_MS, 1 << 30},
+};
+
+static void
+record_reply(struct GbAgentPort *port, const struct GbPath *path,
+             const struct GbMessage *message)
+{
+    struct AgentFixture *self = (struct AgentFixture *)port;
+
+    g_assert_cmpuint(self->reply_count, <, FIXTURE_EVENTS_MAX);
+    self->reply_paths[self->reply_count] = *path;
+    self->replies[self->reply_count++] = *message;
+}
+
+static void
+record_sent(struct GbAgentPort *port, const struct GbAddress *to,
+            const struct GbMessage *message)
+{
+    struct AgentFixture *self = (struct AgentFixture *)port;
+
+    g_assert_cmpuint(self->sent_count, <, FIXTURE_EVENTS_MAX);
+    self->sent[self->sent_count].to = *to;
+    self->sent[self->sent_count++].message = *message;
+}
+
+static void
+record_start(struct GbAgentPort *port, const struct GbTargetCall *call)
+{
+    struct AgentFixture *self = (struct AgentFixture *)port;
+
+    g_assert_cmpuint(self->started_count, <, FIXTURE_EVENTS_MAX);
+    self->started[self->started_count++] = *call;
+}
+
+static void
+record_cancel(struct GbAgentPort *port, uint64_t work_id)
+{
+    (void)work_id;
+    ((struct AgentFixture *)port)->cancelled_count++;
+}
+
+static void
+ignore_allow(struct GbAgentPort *port, uint64_t work_id, uint32_t size_bytes)
+{
+    (void)port;
+    (void)work_id;
+    (void)size_bytes;
+}
+
+static const struct GbAgentPortClass port_class = {
+    .reply = record_reply,
+    .send_member = record_sent,
+    .start = record_start,
+    .cancel = record_cancel,
+    .allow = ignore_allow,
+};
+
+static void
+name_of(uint32_t member, char name[GB_NAME_BYTES])
+{
+    g_snprintf(name, GB_NAME_BYTES, "agent-%u", member);
+}
+
+static struct GbDocument *
+new_document(const struct FixtureSetup *setup)
+{
+    struct GbDocument *document = GbDocument_New();
+    struct GbService *service = g_new0(struct GbService, 1);
+
+    document->revision = 1;
+    document->services = service;
+    document->service_count = 1;
+    g_strlcpy(service->name, "desk", GB_NAME_BYTES);
+    service->id = FIXTURE_SERVICE;
+    service->slots = setup->slots;
+    service->operations = g_memdup2(operations, sizeof(operations));
+    service->operation_count = OPERATION_COUNT;
+    service->limits.flows = setup->flows;
+    service->limits.queue = setup->queue;
+    service->limits.rate_per_s = setup->rate_per_s;
+    service->drain_flow_ms = setup->drain_flow_ms;
+    service->ramp_ms = setup->ramp_ms;
+    service->long_after_ms = SHORT_DEADLINE_MS / 2;
+    return document;
+}
+
+static struct GbInstanceList *
+new_list(uint32_t members, uint64_t leaving)
+{
+    struct GbInstanceList *list = GbInstanceList_New();
+
+    list->count = members + 1;
+    list->instances = g_new0(struct GbInstance, list->count);
+    for (uint32_t i = 0; i < list->count; i++) {
+        struct GbInstance *instance = &list->instances[i];
+
+        name_of(i, instance->name);
+        instance->id = AgentFixture_InstanceId(i);
+        instance->role = GB_ROLE_AGENT;
+        g_strlcpy(instance->service, "desk", GB_NAME_BYTES);
+        instance->address = AgentFixture_Address(i);
+        instance->weight = 1;
+        instance->is_leaving = i < 64 && (leaving >> i & 1) != 0;
+    }
+    return list;
+}
+
+static void
+set_default(uint32_t *field, uint32_t value)
+{
+    if (*field == 0) {
+        *field = value;
+    }
+}
+
+void
+AgentFixture_Init(struct AgentFixture *self, const struct FixtureSetup *setup)
+{
+    struct GbAgentConfig config = {.incarnation = 1, .service = "desk"};
+
+    memset(self, 0, sizeof(*self));
+    self->port.klass = &port_class;
+    self->setup = *setup;
+    set_default(&self->setup.slots, 1);
+    set_default(&self->setup.flows, LARGE);
+    set_default(&self->setup.queue, LARGE);
+    set_default(&self->setup.rate_per_s, LARGE);
+    set_default(&self->setup.drain_flow_ms, 2000);
+    GbManualClock_Init(&self->clock, START_US, START_US);
+    GbSeededRandom_Init(&self->random, SEED);
+    GbCounters_Init(&self->counters);
+    config.instance_id = AgentFixture_InstanceId(0);
+    config.address = AgentFixture_Address(0);
+    GbAgent_Init(&self->agent, &config, &self->port, &self->clock.super,
+                 &self->random.super, &self->counters);
+    AgentFixture_SetView(self, 0);
+}
+
+void
+AgentFixture_Finish(struct AgentFixture *self)
+{
+    GbAgent_Finish(&self->agent);
+}
+
+void
+AgentFixture_SetView(struct AgentFixture *self, uint64_t leaving)
+{
+    struct GbDocument *document = new_document(&self->setup);
+    struct GbInstanceList *list = new_list(self->setup.members, leaving);
+
+    GbAgent_SetView(&self->agent, GbView_New(document, list));
+    GbDocument_Unref(document);
+    GbInstanceList_Unref(list);
+}
+
+struct GbAddress
+AgentFixture_Address(uint32_t member)
+{
+    struct GbAddress address = {AGENTS_NETWORK + member, AGENT_PORT};
+
+    return address;
+}
+
+uint64_t
+AgentFixture_InstanceId(uint32_t member)
+{
+    char name[GB_NAME_BYTES];
+
+    name_of(member, name);
+    return GbInstance_IdOfName(name);
+}
+
+void
+AgentFixture_Receive(struct AgentFixture *self, uint32_t member,
+                     struct GbMessage *message)
+{
+    struct GbAddress from = AgentFixture_Address(member);
+
+    message->service_id = FIXTURE_SERVICE;
+    message->has_token = true;
+    message->token.service_id = FIXTURE_SERVICE;
+    message->token.instance_id = AgentFixture_InstanceId(member);
+    message->token.incarnation = member;
+    message->token.agent = from;
+    GbAgent_ReceiveMember(&self->agent, &from, message);
+}
+
+void
+AgentFixture_Alive(struct AgentFixture *self, uint32_t member,
+                   const struct GbLoad *load)
+{
+    struct GbMessage message = {.kind = GB_MESSAGE_ALIVE};
+
+    message.alive.load = *load;
+    AgentFixture_Receive(self, member, &message);
+}
+
+void
+AgentFixture_Send(struct AgentFixture *self, enum GbMessageKind kind,
+                  uint64_t flow_id, uint32_t request_id,
+                  enum FixtureOperation operation, const struct GbToken *token)
+{
+    struct GbMessage message = {.kind = kind};
+
+    message.service_id = FIXTURE_SERVICE;
+    message.flow_id = flow_id;
+    message.request_id = request_id;
+    if (kind == GB_MESSAGE_CALL) {
+        message.call.operation_id = (uint16_t)operation;
+    }
+    if (token != NULL) {
+        message.has_token = true;
+        message.token = *token;
+    }
+    GbAgent_Receive(&self->agent, &caller_path, &message);
+}
+
+void
+AgentFixture_Call(struct AgentFixture *self, uint64_t flow_id,
+                  uint32_t request_id, enum FixtureOperation operation,
+                  const struct GbToken *token)
+{
+    AgentFixture_Send(self, GB_MESSAGE_CALL, flow_id, request_id, operation,
+                      token);
+}
+
+struct GbToken
+AgentFixture_Bind(struct AgentFixture *self, uint64_t flow_id,
+                  uint32_t request_id)
+{
+    AgentFixture_Call(self, flow_id, request_id, FIXTURE_BUY, NULL);
+    AgentFixture_AssertNotRun(self, request_id, GB_NOT_RUN_BIND);
+    return AgentFixture_LastReply(self)->token;
+}
+
+void
+AgentFixture_Answer(struct AgentFixture *self, uint32_t index)
+{
+    static const uint8_t data[] = "done";
+    struct GbBytes bytes = {data, sizeof(data)};
+    uint64_t work_id = self->started[index].work_id;
+
+    GbAgent_TargetAnswered(&self->agent, work_id, 200);
+    GbAgent_TargetSent(&self->agent, work_id, bytes);
+    GbAgent_TargetEnded(&self->agent, work_id, GB_TARGET_WHOLE);
+}
+
+void
+AgentFixture_End(struct AgentFixture *self, uint32_t index,
+                 enum GbTargetEnd end)
+{
+    GbAgent_TargetEnded(&self->agent, self->started[index].work_id, end);
+}
+
+void
+AgentFixture_Advance(struct AgentFixture *self, int64_t delta_us)
+{
+    int64_t until_us = self->clock.monotonic_us + delta_us;
+
+    for (;;) {
+        int64_t next_us = GbAgent_NextTimerUs(&self->agent);
+
+        if (next_us > until_us) {
+            break;
+        }
+        GbManualClock_Advance(&self->clock,
+                              MAX(next_us - self->clock.monotonic_us, 0));
+        GbAgent_Tick(&self->agent);
+        /* A timer that stays due would keep the task busy for ever. */
+        g_assert_cmpint(GbAgent_NextTimerUs(&self->agent), >,
+                        self->clock.monotonic_us);
+    }
+    GbManualClock_Advance(&self->clock, until_us - self->clock.monotonic_us);
+}
+
+void
+AgentFixture_Pause(struct AgentFixture *self, int64_t delta_us)
+{
+    GbManualClock_Advance(&self->clock, delta_us);
+}
+
+const struct GbMessage *
+AgentFixture_LastReply(const struct AgentFixture *self)
+{
+    g_assert_cmpuint(self->reply_count, >, 0);
+    return &self->replies[self->reply_count - 1];
+}
+
+void
+AgentFixture_AssertNotRun(const struct AgentFixture *self, uint32_t request_id,
+                          enum GbNotRunReason reason)
+{
+    const struct GbMessage *reply = AgentFixture_LastReply(self);
+
+    g_assert_cmpstr(GbMessage_KindName(reply->kind), ==, "NOT_RUN");
+    g_assert_cmpuint(reply->request_id, ==, request_id);
+    g_assert_cmpstr(GbMessage_NotRunName(reply->not_run), ==,
+                    GbMessage_NotRunName(reason));
+}
+
+void
+AgentFixture_AssertUnknown(const struct AgentFixture *self,
+                           uint32_t request_id, enum GbUnknownReason reason)
+{
+    const struct GbMessage *reply = AgentFixture_LastReply(self);
+
+    g_assert_cmpstr(GbMessage_KindName(reply->kind), ==, "UNKNOWN");
+    g_assert_cmpuint(reply->request_id, ==, request_id);
+    g_assert_cmpstr(GbMessage_UnknownName(reply->unknown), ==,
+                    GbMessage_UnknownName(reason));
+}
+
+uint32_t
+AgentFixture_CountSent(const struct AgentFixture *self,
+                       enum GbMessageKind kind)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < self->sent_count; i++) {
+        count += self->sent[i].message.kind == kind;
+    }
+    return count;
+}
+
+const struct FixtureSent *
+AgentFixture_LastSent(const struct AgentFixture *self, enum GbMessageKind kind)
+{
+    for (uint32_t i = self->sent_count; i > 0; i--) {
+        if (self->sent[i - 1].message.kind == kind) {
+            return &self->sent[i - 1];
+        }
+    }
+    return NULL;
+}
+
+void
+AgentFixture_Report(struct AgentFixture *self, const struct GbLoad *loads)
+{
+    const struct FixtureSent *last =
+        AgentFixture_LastSent(self, GB_MESSAGE_LOAD_ASK);
+    uint32_t ask_id;
+    uint32_t sent_count = self->sent_count;
+
+    g_assert_nonnull(last);
+    ask_id = last->message.load.ask_id;
+    for (uint32_t i = 0; i < sent_count; i++) {
+        const struct FixtureSent *sent = &self->sent[i];
+
+        if (sent->message.kind == GB_MESSAGE_LOAD_ASK &&
+            sent->message.load.ask_id == ask_id) {
+            uint32_t member = sent->to.ipv4 - AGENTS_NETWORK;
+            struct GbMessage report = {.kind = GB_MESSAGE_LOAD_REPORT};
+
+            report.load.ask_id = ask_id;
+            report.load.load = loads[member];
+            AgentFixture_Receive(self, member, &report);
+        }
+    }
+}
--- /dev/null
+++ b/tests/test_slots.c
@@ -0,0 +1,225 @@
+#include <glib.h>
+
+#include "coordination/slots.h"
+#include "support/agent_fixture.h"
+
+#define RAMP_MS 4000
+#define TOTAL 4
+
+struct RampCase {
+    int64_t at_us;
+    uint32_t sheds;
+    uint32_t reported;
+    uint32_t usable;
+};
+
+/* Sheds and reports come 100 ms before the time. */
+static const struct RampCase ramp_cases[] = {
+    {0, 0, 0, 1},
+    {999999, 0, 0, 1},
+    {1000000, 0, 0, 2},
+    {2999999, 0, 0, 3},
+    {3000000, 0, 0, 4},
+    {60000000, 0, 0, 4},
+    {60000000, 1, 0, 3},
+    {60000000, 3, 0, 1},
+    {60000000, 4, 0, 1},
+    {60000000, 2 * GB_SLOTS_SHEDS_MAX, 0, 1},
+    /* A report alone, which may be stale or wrong, changes nothing. */
+    {60000000, 0, 1, 4},
+    {60000000, 1, 2, 1},
+    {60000000, 1, 100, 3},
+    {1000000, 1, 0, 1},
+};
+
+/* Guards against a cold or shedding target that is given all its slots, and
+ * against a count below one slot, which would stop the target for good. */
+static void
+test_usable(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(ramp_cases); i++) {
+        const struct RampCase *row = &ramp_cases[i];
+        struct GbSlots slots;
+
+        GbSlots_Init(&slots, 1, 0);
+        GbSlots_StartRamp(&slots, 0);
+        GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, 0);
+        GbSlots_Report(&slots, row->reported, row->at_us - 100000);
+        for (uint32_t shed = 0; shed < row->sheds; shed++) {
+            GbSlots_Shed(&slots, row->at_us - 100000);
+        }
+        GbSlots_Refresh(&slots, row->at_us);
+        g_assert_cmpuint(slots.usable, ==, row->usable);
+    }
+}
+
+/* Guards against a shed answer that counts for more or less than 1 s, and
+ * against a timer in the past, with which the task would never sleep. */
+static void
+test_shed_ends(void)
+{
+    struct GbSlots slots;
+    int64_t now_us = 60000000;
+
+    GbSlots_Init(&slots, 1, 0);
+    GbSlots_StartRamp(&slots, 0);
+    GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, now_us);
+    GbSlots_Shed(&slots, now_us);
+    GbSlots_Refresh(&slots, now_us + 999999);
+    g_assert_cmpuint(slots.usable, ==, TOTAL - 1);
+    GbSlots_Refresh(&slots, now_us + 1000000);
+    g_assert_cmpuint(slots.usable, ==, TOTAL);
+    for (int64_t next_us = 0; next_us != GB_TIMER_NEVER;) {
+        next_us = GbSlots_NextChangeUs(&slots);
+        if (next_us != GB_TIMER_NEVER) {
+            g_assert_cmpint(next_us, >, now_us);
+            now_us = next_us;
+            GbSlots_Refresh(&slots, now_us);
+        }
+    }
+    g_assert_cmpuint(slots.usable, ==, TOTAL);
+}
+
+struct RoomCase {
+    uint32_t total;
+    uint32_t running_short;
+    uint32_t running_long;
+    bool has_short_room;
+    bool has_long_room;
+};
+
+static const struct RoomCase room_cases[] = {
+    {1, 0, 0, true, true},   {1, 0, 1, false, false}, {2, 0, 0, true, true},
+    {2, 0, 1, true, false},  {2, 1, 0, true, true},   {2, 1, 1, false, false},
+    {2, 2, 0, false, false}, {5, 0, 4, true, false},  {5, 0, 3, true, true},
+};
+
+/* Guards against long work that takes the last slot, behind which short work
+ * would wait. */
+static void
+test_room(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(room_cases); i++) {
+        const struct RoomCase *row = &room_cases[i];
+        struct GbSlots slots;
+
+        GbSlots_Init(&slots, row->total, 0);
+        for (uint32_t n = 0; n < row->running_short; n++) {
+            GbSlots_Start(&slots, GB_CLASS_SHORT);
+        }
+        for (uint32_t n = 0; n < row->running_long; n++) {
+            GbSlots_Start(&slots, GB_CLASS_LONG);
+        }
+        g_assert_cmpint(GbSlots_HasRoom(&slots, GB_CLASS_SHORT), ==,
+                        row->has_short_room);
+        g_assert_cmpint(GbSlots_HasRoom(&slots, GB_CLASS_LONG), ==,
+                        row->has_long_room);
+    }
+}
+
+struct WaitCase {
+    uint32_t total;
+    uint32_t running_short;
+    uint32_t running_long;
+    enum GbOperationClass work_class;
+    int64_t wait_us;
+};
+
+/* Short work takes 20 ms and long work 1 s. */
+static const struct WaitCase wait_cases[] = {
+    {2, 1, 0, GB_CLASS_SHORT, 0},      {2, 2, 0, GB_CLASS_SHORT, 10000},
+    {2, 1, 1, GB_CLASS_SHORT, 20000},  {1, 0, 1, GB_CLASS_SHORT, 1000000},
+    {2, 0, 1, GB_CLASS_LONG, 1000000}, {5, 0, 4, GB_CLASS_LONG, 250000},
+};
+
+/* Guards against an estimate that refuses work which could start at once, or
+ * that leaves out the work in the way. */
+static void
+test_expected_wait(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(wait_cases); i++) {
+        const struct WaitCase *row = &wait_cases[i];
+        struct GbSlots slots;
+
+        GbSlots_Init(&slots, row->total, 0);
+        GbSlots_Observe(&slots, GB_CLASS_SHORT, 20000);
+        GbSlots_Observe(&slots, GB_CLASS_LONG, 1000000);
+        for (uint32_t n = 0; n < row->running_short; n++) {
+            GbSlots_Start(&slots, GB_CLASS_SHORT);
+        }
+        for (uint32_t n = 0; n < row->running_long; n++) {
+            GbSlots_Start(&slots, GB_CLASS_LONG);
+        }
+        g_assert_cmpint(GbSlots_ExpectedWaitUs(&slots, row->work_class), ==,
+                        row->wait_us);
+    }
+}
+
+struct AgentCase {
+    const char *name;
+    enum GbTargetEnd end;
+    int64_t pause_us;
+    uint32_t usable;
+};
+
+static const struct AgentCase agent_cases[] = {
+    {"answered", GB_TARGET_WHOLE, 0, TOTAL},
+    {"shed", GB_TARGET_SHED, 0, TOTAL - 1},
+    {"shed 1 s ago", GB_TARGET_SHED, 1000000, TOTAL},
+    {"failed", GB_TARGET_FAILED, 0, TOTAL},
+};
+
+/* Guards against an agent that does not act on what its target answers. */
+static void
+test_agent(void)
+{
+    static struct AgentFixture fixture;
+    struct FixtureSetup setup = {.slots = TOTAL};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(agent_cases); i++) {
+        const struct AgentCase *row = &agent_cases[i];
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        AgentFixture_End(&fixture, 0, row->end);
+        AgentFixture_Advance(&fixture, row->pause_us);
+        GbSlots_Refresh(&fixture.agent.slots, fixture.clock.monotonic_us);
+        g_assert_cmpuint(GbAgent_Load(&fixture.agent).capacity, ==,
+                         row->usable);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+/* Guards against a queue that stands still while the ramp frees slots. */
+static void
+test_ramp_starts_queued_work(void)
+{
+    static struct AgentFixture fixture;
+    struct FixtureSetup setup = {.slots = TOTAL, .ramp_ms = 400};
+
+    AgentFixture_Init(&fixture, &setup);
+    for (uint64_t flow_id = 1; flow_id <= TOTAL; flow_id++) {
+        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+    }
+    g_assert_cmpuint(fixture.started_count, ==, 1);
+    AgentFixture_Advance(&fixture, 100000);
+    g_assert_cmpuint(fixture.started_count, ==, 2);
+    AgentFixture_Advance(&fixture, 200000);
+    g_assert_cmpuint(fixture.started_count, ==, TOTAL);
+    AgentFixture_Finish(&fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/slots/usable", test_usable);
+    g_test_add_func("/slots/shed_ends", test_shed_ends);
+    g_test_add_func("/slots/room", test_room);
+    g_test_add_func("/slots/expected_wait", test_expected_wait);
+    g_test_add_func("/slots/agent", test_agent);
+    g_test_add_func("/slots/ramp_starts_queued_work",
+                    test_ramp_starts_queued_work);
+    return g_test_run();
+}
