--- /dev/null
+++ b/tests/test_drain.c
@@ -0,0 +1,347 @@
+#include <glib.h>
+
+#include "support/agent_fixture.h"
+
+#define MEMBERS 3
+
+static struct AgentFixture fixture;
+
+static const struct GbLoad idle = {0, 0, 1, false};
+
+enum Cause { CAUSE_STOP, CAUSE_LIST, CAUSE_HEALTH, CAUSE_TARGET_DOWN };
+
+static void
+leave(enum Cause cause)
+{
+    switch (cause) {
+    case CAUSE_STOP:
+        GbAgent_Drain(&fixture.agent);
+        break;
+    case CAUSE_LIST:
+        AgentFixture_SetView(&fixture, 1);
+        break;
+    case CAUSE_HEALTH:
+        GbAgent_TargetHealth(&fixture.agent, GB_HEALTH_LEAVING);
+        break;
+    case CAUSE_TARGET_DOWN:
+        GbAgent_TargetHealth(&fixture.agent, GB_HEALTH_REFUSED);
+        break;
+    }
+}
+
+static void
+start(uint32_t members)
+{
+    struct FixtureSetup setup = {.members = members, .slots = 2};
+
+    AgentFixture_Init(&fixture, &setup);
+    for (uint32_t i = 1; i <= members; i++) {
+        AgentFixture_Alive(&fixture, i, &idle);
+    }
+}
+
+struct UnboundCase {
+    const char *name;
+    enum Cause cause;
+    uint32_t members;
+    enum FixtureOperation operation;
+    bool is_reported;
+    /* Whether the CALL is handed over. */
+    bool is_handed_over;
+    /* Reply if it is not: NOT_RUN with this reason, or 0 for ACCEPTED. */
+    enum GbNotRunReason reason;
+};
+
+static const struct UnboundCase unbound_cases[] = {
+    {"stop", CAUSE_STOP, MEMBERS, FIXTURE_LOOK, true, true, 0},
+    {"instance list", CAUSE_LIST, MEMBERS, FIXTURE_LOOK, true, true, 0},
+    {"health", CAUSE_HEALTH, MEMBERS, FIXTURE_BUY, true, true, 0},
+    {"nobody reports", CAUSE_STOP, MEMBERS, FIXTURE_LOOK, false, true, 0},
+    {"alone", CAUSE_STOP, 0, FIXTURE_LOOK, false, false, GB_NOT_RUN_DRAINING},
+    {"alone, not idempotent", CAUSE_LIST, 0, FIXTURE_BUY, false, false,
+     GB_NOT_RUN_DRAINING},
+    {"target down", CAUSE_TARGET_DOWN, MEMBERS, FIXTURE_LOOK, true, true, 0},
+    {"target down, alone", CAUSE_TARGET_DOWN, 0, FIXTURE_LOOK, false, false,
+     0},
+};
+
+/* Guards against new flows at a target that is leaving or does not connect
+ * while another one could take them. */
+static void
+test_unbound(void)
+{
+    /* Busier than this agent: they take the CALL all the same. */
+    static const struct GbLoad loads[] = {
+        {0}, {2, 9, 2, false}, {2, 3, 2, false}, {2, 5, 2, false}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(unbound_cases); i++) {
+        const struct UnboundCase *row = &unbound_cases[i];
+        const struct FixtureSent *sent;
+
+        g_test_message("%s", row->name);
+        start(row->members);
+        leave(row->cause);
+        AgentFixture_Call(&fixture, 1, 1, row->operation, NULL);
+        if (row->is_reported) {
+            AgentFixture_Report(&fixture, loads);
+        }
+        AgentFixture_Advance(&fixture, 2000);
+        sent = AgentFixture_LastSent(&fixture, GB_MESSAGE_HANDOVER);
+        g_assert_true((sent != NULL) == row->is_handed_over);
+        if (row->is_reported) {
+            struct GbAddress least = AgentFixture_Address(2);
+
+            g_assert_true(GbAddress_Equal(&sent->to, &least));
+        }
+        if (row->is_handed_over) {
+            g_assert_cmpuint(fixture.reply_count, ==, 0);
+        }
+        else if (row->reason != 0) {
+            AgentFixture_AssertNotRun(&fixture, 1, row->reason);
+        }
+        else {
+            g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+                            GB_MESSAGE_ACCEPTED);
+        }
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+struct BoundCase {
+    const char *name;
+    uint32_t flow_ms;
+    /* Whether the token was used before the leave. */
+    bool is_used;
+    /* Time from the leave to the CALL. */
+    int64_t at_us;
+    bool is_admitted;
+};
+
+static const struct BoundCase bound_cases[] = {
+    {"old flow, at once", 2000, true, 0, true},
+    {"old flow, within its time", 5000, true, 4999999, true},
+    {"old flow, past its time", 5000, true, 5000000, false},
+    {"old flow, short time", 500, true, 500000, false},
+    {"first use, within 2 s", 5000, false, 1999999, true},
+    {"first use, after 2 s", 5000, false, 2000000, false},
+    {"first use, short time", 500, false, 500000, false},
+};
+
+/* Guards against a bound flow that is cut before drain.flow_ms, and against a
+ * new flow that reaches a leaving target 2 s after the leave. */
+static void
+test_bound(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bound_cases); i++) {
+        const struct BoundCase *row = &bound_cases[i];
+        struct FixtureSetup setup = {.slots = 2,
+                                     .drain_flow_ms = row->flow_ms};
+        struct GbToken token;
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        token = AgentFixture_Bind(&fixture, 1, 1);
+        if (row->is_used) {
+            AgentFixture_Call(&fixture, 1, 2, FIXTURE_BUY, &token);
+            AgentFixture_Answer(&fixture, 0);
+        }
+        AgentFixture_Advance(&fixture, 1000);
+        GbAgent_Drain(&fixture.agent);
+        AgentFixture_Advance(&fixture, row->at_us);
+        fixture.started_count = 0;
+        fixture.reply_count = 0;
+        AgentFixture_Call(&fixture, 1, 3, FIXTURE_BUY, &token);
+        g_assert_cmpuint(fixture.started_count, ==, row->is_admitted);
+        if (!row->is_admitted) {
+            AgentFixture_AssertNotRun(&fixture, 3, GB_NOT_RUN_DRAINING);
+            /* It is refused at once and not accepted before. */
+            g_assert_cmpuint(fixture.reply_count, ==, 1);
+        }
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+/* Guards against a new flow that was queued in time but would start at the
+ * leaving target after 2 s, and against the same for an old flow. */
+static void
+test_queued(void)
+{
+    struct FixtureSetup setup = {.slots = 1, .drain_flow_ms = 5000};
+    struct GbToken old_token;
+    struct GbToken new_token;
+
+    AgentFixture_Init(&fixture, &setup);
+    old_token = AgentFixture_Bind(&fixture, 1, 1);
+    new_token = AgentFixture_Bind(&fixture, 2, 1);
+    AgentFixture_Call(&fixture, 3, 1, FIXTURE_PACK, NULL);
+    AgentFixture_Call(&fixture, 1, 2, FIXTURE_PACK, &old_token);
+    AgentFixture_Advance(&fixture, 1000);
+    GbAgent_Drain(&fixture.agent);
+    AgentFixture_Call(&fixture, 2, 2, FIXTURE_PACK, &new_token);
+    AgentFixture_Advance(&fixture, 2500000);
+    g_assert_cmpuint(fixture.started_count, ==, 1);
+    AgentFixture_Answer(&fixture, 0);
+    g_assert_cmpuint(fixture.started_count, ==, 2);
+    g_assert_cmpuint(fixture.started[1].flow_id, ==, 1);
+    AgentFixture_Answer(&fixture, 1);
+    g_assert_cmpuint(fixture.started_count, ==, 2);
+    AgentFixture_AssertNotRun(&fixture, 2, GB_NOT_RUN_DRAINING);
+    AgentFixture_Finish(&fixture);
+}
+
+/* Guards against an exit that cuts a request or its download. */
+static void
+test_in_progress(void)
+{
+    struct FixtureSetup setup = {.slots = 2};
+
+    AgentFixture_Init(&fixture, &setup);
+    AgentFixture_Call(&fixture, 1, 1, FIXTURE_PACK, NULL);
+    GbAgent_Drain(&fixture.agent);
+    AgentFixture_Advance(&fixture, 20000000);
+    g_assert_cmpuint(fixture.cancelled_count, ==, 0);
+    g_assert_false(GbAgent_IsDrained(&fixture.agent));
+    AgentFixture_Answer(&fixture, 0);
+    g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+                    GB_MESSAGE_DATA);
+    AgentFixture_Advance(&fixture, 20000000);
+    /* The answer waits to be fetched. */
+    g_assert_false(GbAgent_IsDrained(&fixture.agent));
+    AgentFixture_Advance(&fixture, 10000000);
+    g_assert_true(GbAgent_IsDrained(&fixture.agent));
+    AgentFixture_Finish(&fixture);
+}
+
+struct ReturnCase {
+    const char *name;
+    enum Cause cause;
+    bool is_taken_back;
+};
+
+static const struct ReturnCase return_cases[] = {
+    {"stop", CAUSE_STOP, false},
+    {"list", CAUSE_LIST, true},
+    {"health", CAUSE_HEALTH, true},
+    {"target down", CAUSE_TARGET_DOWN, true},
+};
+
+/* Guards against an instance that a stale list or a misleading endpoint takes
+ * out of service for good, and against a stop that is taken back. */
+static void
+test_taken_back(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(return_cases); i++) {
+        const struct ReturnCase *row = &return_cases[i];
+
+        g_test_message("%s", row->name);
+        start(MEMBERS);
+        leave(row->cause);
+        g_assert_false(GbAgent_TakesNewFlows(&fixture.agent));
+        AgentFixture_Advance(&fixture, 3000000);
+        AgentFixture_SetView(&fixture, 0);
+        GbAgent_TargetHealth(&fixture.agent, GB_HEALTH_OK);
+        g_assert_true(GbAgent_TakesNewFlows(&fixture.agent) ==
+                      row->is_taken_back);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+enum Step {
+    STEP_ANSWERED,
+    STEP_NOT_STARTED,
+    STEP_HEALTH_OK,
+    STEP_HEALTH_REFUSED,
+    STEP_HEALTH_UNKNOWN,
+    STEP_SECOND,
+    STEP_END
+};
+
+struct EvidenceCase {
+    const char *name;
+    enum Step steps[8];
+    bool is_down;
+};
+
+static const struct EvidenceCase evidence_cases[] = {
+    {"work fails", {STEP_NOT_STARTED, STEP_END}, true},
+    {"refused", {STEP_HEALTH_REFUSED, STEP_END}, true},
+    {"no answer in time", {STEP_HEALTH_UNKNOWN, STEP_END}, false},
+    {"refused but work succeeds",
+     {STEP_ANSWERED, STEP_HEALTH_REFUSED, STEP_END},
+     false},
+    {"refused long after work",
+     {STEP_ANSWERED, STEP_SECOND, STEP_SECOND, STEP_HEALTH_REFUSED, STEP_END},
+     true},
+    {"ok just after a failure",
+     {STEP_NOT_STARTED, STEP_HEALTH_OK, STEP_END},
+     true},
+    {"ok a second after a failure",
+     {STEP_NOT_STARTED, STEP_SECOND, STEP_HEALTH_OK, STEP_END},
+     false},
+    {"ok a second after the second failure",
+     {STEP_NOT_STARTED, STEP_SECOND, STEP_HEALTH_OK, STEP_NOT_STARTED,
+      STEP_SECOND, STEP_HEALTH_OK, STEP_END},
+     true},
+    {"work succeeds after a failure",
+     {STEP_NOT_STARTED, STEP_ANSWERED, STEP_END},
+     false},
+};
+
+static void
+take_step(struct GbTargetState *state, enum Step step, int64_t *now_us)
+{
+    switch (step) {
+    case STEP_ANSWERED:
+        GbTargetState_Succeeded(state, *now_us);
+        break;
+    case STEP_NOT_STARTED:
+        GbTargetState_NotStarted(state, *now_us);
+        break;
+    case STEP_HEALTH_OK:
+        GbTargetState_SetHealth(state, GB_HEALTH_OK, *now_us);
+        break;
+    case STEP_HEALTH_REFUSED:
+        GbTargetState_SetHealth(state, GB_HEALTH_REFUSED, *now_us);
+        break;
+    case STEP_HEALTH_UNKNOWN:
+        GbTargetState_SetHealth(state, GB_HEALTH_UNKNOWN, *now_us);
+        break;
+    case STEP_SECOND:
+        *now_us += 1000000;
+        break;
+    case STEP_END:
+        break;
+    }
+}
+
+/* Guards against a health endpoint that outweighs what the agent's own work
+ * shows. */
+static void
+test_evidence(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(evidence_cases); i++) {
+        const struct EvidenceCase *row = &evidence_cases[i];
+        struct GbTargetState state;
+        int64_t now_us = 50000000;
+
+        g_test_message("%s", row->name);
+        GbTargetState_Init(&state);
+        for (size_t n = 0; row->steps[n] != STEP_END; n++) {
+            take_step(&state, row->steps[n], &now_us);
+        }
+        g_assert_true(state.is_down == row->is_down);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/drain/unbound", test_unbound);
+    g_test_add_func("/drain/bound", test_bound);
+    g_test_add_func("/drain/queued", test_queued);
+    g_test_add_func("/drain/in_progress", test_in_progress);
+    g_test_add_func("/drain/taken_back", test_taken_back);
+    g_test_add_func("/drain/evidence", test_evidence);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_pool.c
@@ -0,0 +1,467 @@
+#include <glib.h>
+
+#include "coordination/handover.h"
+#include "support/agent_fixture.h"
+
+#define MEMBERS 3
+#define WAIT_US 2000
+
+static struct AgentFixture fixture;
+
+static const struct GbLoad idle = {0, 0, 1, false};
+
+/* One slot that is busy with long work, and members that were heard. */
+static void
+start_busy(uint32_t members, const struct GbLoad *load)
+{
+    struct FixtureSetup setup = {.members = members};
+
+    AgentFixture_Init(&fixture, &setup);
+    for (uint32_t i = 1; i <= members; i++) {
+        AgentFixture_Alive(&fixture, i, load);
+    }
+    AgentFixture_Call(&fixture, 1000, 1, FIXTURE_PACK, NULL);
+    g_assert_cmpuint(fixture.started_count, ==, 1);
+}
+
+struct HandoverCase {
+    const char *name;
+    enum FixtureOperation operation;
+    /* Loads that the members report, from index 1. */
+    struct GbLoad loads[MEMBERS + 1];
+    /* Member that gets the CALL; 0 if it stays. */
+    uint32_t member;
+};
+
+static const struct HandoverCase handover_cases[] = {
+    {"one is idle",
+     FIXTURE_LOOK,
+     {{0}, {1, 1, 1, false}, {0, 0, 1, false}, {1, 0, 1, false}},
+     2},
+    {"not idempotent",
+     FIXTURE_BUY,
+     {{0}, {1, 1, 1, false}, {1, 2, 1, false}, {0, 0, 1, false}},
+     3},
+    {"long",
+     FIXTURE_PACK,
+     {{0}, {0, 0, 1, false}, {1, 2, 1, false}, {1, 0, 1, false}},
+     1},
+    {"capacity counts",
+     FIXTURE_LOOK,
+     {{0}, {1, 0, 1, false}, {3, 0, 5, false}, {2, 0, 3, false}},
+     2},
+    {"all as busy",
+     FIXTURE_LOOK,
+     {{0}, {1, 0, 1, false}, {1, 0, 1, false}, {1, 0, 1, false}},
+     0},
+    {"all busier",
+     FIXTURE_LOOK,
+     {{0}, {1, 4, 1, false}, {1, 1, 1, false}, {1, 2, 1, false}},
+     0},
+    {"the idle one is draining",
+     FIXTURE_LOOK,
+     {{0}, {0, 0, 1, true}, {1, 0, 1, false}, {1, 0, 1, false}},
+     0},
+    {"the idle one has no target",
+     FIXTURE_LOOK,
+     {{0}, {0, 0, 0, false}, {1, 0, 1, false}, {1, 0, 1, false}},
+     0},
+};
+
+/* Guards against a CALL that goes to a busier, draining or dead member, or
+ * that is both handed over and placed here. */
+static void
+test_handover(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(handover_cases); i++) {
+        const struct HandoverCase *row = &handover_cases[i];
+        const struct FixtureSent *sent;
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &idle);
+        fixture.reply_count = 0;
+        AgentFixture_Call(&fixture, 1, 1, row->operation, NULL);
+        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
+                         ==, 3);
+        g_assert_cmpuint(fixture.reply_count, ==, 0);
+        AgentFixture_Report(&fixture, row->loads);
+        sent = AgentFixture_LastSent(&fixture, GB_MESSAGE_HANDOVER);
+        if (row->member == 0) {
+            g_assert_null(sent);
+            g_assert_cmpuint(fixture.reply_count, ==, 1);
+        }
+        else {
+            struct GbAddress to = AgentFixture_Address(row->member);
+
+            g_assert_nonnull(sent);
+            g_assert_true(GbAddress_Equal(&sent->to, &to));
+            g_assert_cmpuint(sent->message.flow_id, ==, 1);
+            g_assert_cmpuint(sent->message.token.flow_id, ==, 0);
+            g_assert_cmpuint(sent->message.handover.path.tag, ==, 99);
+            g_assert_cmpuint(sent->message.handover.path.balancer.port, ==,
+                             6000);
+            g_assert_cmpuint(fixture.reply_count, ==, 0);
+        }
+        g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+struct SilenceCase {
+    const char *name;
+    /* Time before the CALL at which the members were last heard. */
+    int64_t heard_before_us;
+    uint64_t leaving;
+    /* What they said. */
+    struct GbLoad load;
+    uint32_t asks;
+    /* Time after which the CALL is placed here. */
+    int64_t placed_after_us;
+};
+
+static const struct SilenceCase silence_cases[] = {
+    {"no answer", 0, 0, {0, 0, 1, false}, 3, WAIT_US},
+    {"heard 3 s ago", 3000000, 0, {0, 0, 1, false}, 3, WAIT_US},
+    {"not heard for 4 s", 4000000, 0, {0, 0, 1, false}, 0, 0},
+    {"one is leaving by the list", 0, 2, {0, 0, 1, false}, 2, WAIT_US},
+    {"all are leaving by the list", 0, 14, {0, 0, 1, false}, 0, 0},
+    {"all have said that they drain", 0, 0, {0, 0, 1, true}, 0, 0},
+    {"no member has a target", 0, 0, {0, 0, 0, false}, 0, 0},
+};
+
+/* Guards against a CALL that waits for members who do not answer, and against
+ * questions to members that take nothing. */
+static void
+test_no_answer(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+        const struct SilenceCase *row = &silence_cases[i];
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &row->load);
+        AgentFixture_SetView(&fixture, row->leaving);
+        AgentFixture_Advance(&fixture, row->heard_before_us);
+        fixture.reply_count = 0;
+        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
+                         ==, row->asks);
+        if (row->placed_after_us > 0) {
+            AgentFixture_Advance(&fixture, row->placed_after_us - 1);
+            g_assert_cmpuint(fixture.reply_count, ==, 0);
+            AgentFixture_Advance(&fixture, 1);
+        }
+        g_assert_cmpuint(fixture.reply_count, ==, 1);
+        g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+                        GB_MESSAGE_ACCEPTED);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+/* Guards against waiting CALLs without a bound, and against one that gets no
+ * answer when the bound is reached. */
+static void
+test_full_waiting_table(void)
+{
+    start_busy(MEMBERS, &idle);
+    fixture.reply_count = 0;
+    for (uint64_t flow_id = 1; flow_id <= GB_HANDOVER_WAITING_MAX; flow_id++) {
+        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+    }
+    g_assert_cmpuint(fixture.reply_count, ==, 0);
+    AgentFixture_Call(&fixture, 500, 1, FIXTURE_LOOK, NULL);
+    g_assert_cmpuint(fixture.reply_count, ==, 1);
+    g_assert_cmpuint(AgentFixture_LastReply(&fixture)->flow_id, ==, 500);
+    g_assert_cmpuint(fixture.counters.values[GB_COUNTER_WAITING_REFUSED], ==,
+                     1);
+    AgentFixture_Advance(&fixture, WAIT_US);
+    g_assert_cmpuint(fixture.reply_count, ==, GB_HANDOVER_WAITING_MAX + 1);
+    AgentFixture_Finish(&fixture);
+}
+
+struct DuplicateCase {
+    const char *name;
+    bool is_reported;
+    uint64_t flow_id;
+    uint32_t request_id;
+    /* Questions in all after the second CALL. */
+    uint32_t asks;
+};
+
+static const struct DuplicateCase duplicate_cases[] = {
+    {"while waiting", false, 1, 1, 3},
+    {"after the hand-over", true, 1, 1, 3},
+    {"another request", false, 1, 2, 6},
+    {"another flow", true, 2, 1, 6},
+};
+
+/* Guards against a duplicate datagram that is refused here while its first
+ * copy runs at the member: the caller would be told "not run" of a request
+ * that ran. */
+static void
+test_duplicate(void)
+{
+    static const struct GbLoad loads[] = {
+        {0}, {0, 0, 1, false}, {0, 0, 1, false}, {0, 0, 1, false}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(duplicate_cases); i++) {
+        const struct DuplicateCase *row = &duplicate_cases[i];
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &idle);
+        fixture.reply_count = 0;
+        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        if (row->is_reported) {
+            AgentFixture_Report(&fixture, loads);
+        }
+        AgentFixture_Call(&fixture, row->flow_id, row->request_id,
+                          FIXTURE_LOOK, NULL);
+        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
+                         ==, row->asks);
+        g_assert_cmpuint(fixture.reply_count, ==, 0);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+static void
+receive_handover(enum FixtureOperation operation, uint64_t flow_id,
+                 uint32_t request_id)
+{
+    struct GbMessage message = {.kind = GB_MESSAGE_HANDOVER};
+
+    message.flow_id = flow_id;
+    message.request_id = request_id;
+    message.handover.path.balancer.port = 1234;
+    message.handover.call.operation_id = (uint16_t)operation;
+    AgentFixture_Receive(&fixture, 1, &message);
+}
+
+struct ReceivedCase {
+    const char *name;
+    enum FixtureOperation operation;
+    bool is_busy;
+    bool is_draining;
+    enum GbMessageKind reply;
+    /* Reason if the reply is NOT_RUN, progress if it is ACCEPTED. */
+    uint32_t detail;
+};
+
+static const struct ReceivedCase received_cases[] = {
+    {"idempotent", FIXTURE_LOOK, false, false, GB_MESSAGE_ACCEPTED,
+     GB_PROGRESS_QUEUED},
+    {"not idempotent", FIXTURE_BUY, false, false, GB_MESSAGE_NOT_RUN,
+     GB_NOT_RUN_BIND},
+    {"busy", FIXTURE_LOOK, true, false, GB_MESSAGE_ACCEPTED,
+     GB_PROGRESS_QUEUED},
+    {"draining", FIXTURE_LOOK, false, true, GB_MESSAGE_NOT_RUN,
+     GB_NOT_RUN_DRAINING},
+};
+
+/* Guards against a second hand-over, with which a CALL could go round, and
+ * against a reply that does not go through the balancer it came by. */
+static void
+test_received(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(received_cases); i++) {
+        const struct ReceivedCase *row = &received_cases[i];
+        struct FixtureSetup setup = {.members = MEMBERS};
+        const struct GbMessage *reply;
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        AgentFixture_Alive(&fixture, 2, &idle);
+        if (row->is_busy) {
+            AgentFixture_Call(&fixture, 1000, 1, FIXTURE_LOOK, NULL);
+        }
+        if (row->is_draining) {
+            GbAgent_Drain(&fixture.agent);
+        }
+        receive_handover(row->operation, 1, 1);
+        reply = AgentFixture_LastReply(&fixture);
+        g_assert_cmpint(reply->kind, ==, row->reply);
+        g_assert_cmpuint(reply->kind == GB_MESSAGE_NOT_RUN
+                             ? (uint32_t)reply->not_run
+                             : (uint32_t)reply->progress,
+                         ==, row->detail);
+        g_assert_cmpuint(
+            fixture.reply_paths[fixture.reply_count - 1].balancer.port, ==,
+            1234);
+        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
+                         ==, 0);
+        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_HANDOVER),
+                         ==, 0);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+struct AuthorityCase {
+    const char *name;
+    uint32_t service_id;
+    uint32_t token_service_id;
+    uint64_t flow_id;
+    bool is_own;
+};
+
+static const struct AuthorityCase authority_cases[] = {
+    {"another service", FIXTURE_SERVICE + 1, FIXTURE_SERVICE, 1, false},
+    {"token of another service", FIXTURE_SERVICE, FIXTURE_SERVICE + 1, 1,
+     false},
+    {"flow 0", FIXTURE_SERVICE, FIXTURE_SERVICE, 0, false},
+    {"own message sent back", FIXTURE_SERVICE, FIXTURE_SERVICE, 1, true},
+};
+
+/* Guards against a packet for one service that reaches a target of another,
+ * and against a flow under the id that proves membership. */
+static void
+test_authority(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(authority_cases); i++) {
+        const struct AuthorityCase *row = &authority_cases[i];
+        struct FixtureSetup setup = {.members = MEMBERS};
+        struct GbMessage message = {.kind = GB_MESSAGE_HANDOVER};
+        struct GbAddress from = AgentFixture_Address(1);
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        message.service_id = row->service_id;
+        message.flow_id = row->flow_id;
+        message.request_id = 1;
+        message.has_token = true;
+        message.token.service_id = row->token_service_id;
+        message.token.instance_id = AgentFixture_InstanceId(!row->is_own);
+        message.handover.call.operation_id = FIXTURE_LOOK;
+        GbAgent_ReceiveMember(&fixture.agent, &from, &message);
+        g_assert_cmpuint(fixture.started_count, ==, 0);
+        g_assert_cmpuint(fixture.reply_count, ==, 0);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+struct SizeCase {
+    uint32_t agents;
+    uint32_t members;
+    uint32_t excess;
+};
+
+static const struct SizeCase size_cases[] = {
+    {0, 0, 0},
+    {6, 6, 0},
+    {GB_POOL_MEMBERS_MAX, GB_POOL_MEMBERS_MAX, 0},
+    {GB_POOL_MEMBERS_MAX + 1, GB_POOL_MEMBERS_MAX, 1},
+    {300, GB_POOL_MEMBERS_MAX, 300 - GB_POOL_MEMBERS_MAX},
+};
+
+static struct GbInstanceList *
+list_of(uint32_t agents)
+{
+    struct GbInstanceList *list = GbInstanceList_New();
+
+    list->count = agents;
+    list->instances = g_new0(struct GbInstance, agents);
+    for (uint32_t i = 0; i < agents; i++) {
+        list->instances[i].role = GB_ROLE_AGENT;
+        list->instances[i].id = AgentFixture_InstanceId(i);
+        g_strlcpy(list->instances[i].service, "desk", GB_NAME_BYTES);
+    }
+    return list;
+}
+
+/* Guards against a table beyond its bound, and against an agent that holds
+ * one which does not hold it: the two would never hear each other. */
+static void
+test_bound(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(size_cases); i++) {
+        const struct SizeCase *row = &size_cases[i];
+        struct GbInstanceList *list = list_of(row->agents + 1);
+        struct GbPool *pools = g_new0(struct GbPool, list->count);
+        struct GbCounters counters;
+
+        GbCounters_Init(&counters);
+        for (uint32_t n = 0; n < list->count; n++) {
+            GbPool_Init(&pools[n]);
+            GbPool_SetList(&pools[n], list, "desk", list->instances[n].id, 0,
+                           &counters);
+            g_assert_cmpuint(pools[n].count, ==, row->members);
+            g_assert_cmpuint(pools[n].excess, ==, row->excess);
+        }
+        g_assert_cmpuint(counters.values[GB_COUNTER_MEMBERS_EXCESS], ==,
+                         (uint64_t)row->excess * list->count);
+        for (uint32_t n = 0; n < list->count; n++) {
+            for (uint32_t m = 0; m < list->count; m++) {
+                g_assert_true(
+                    (GbPool_Find(&pools[n], list->instances[m].id) != NULL) ==
+                    (GbPool_Find(&pools[m], list->instances[n].id) != NULL));
+            }
+        }
+        g_free(pools);
+        GbInstanceList_Unref(list);
+    }
+}
+
+/* Guards against members that hear too little or too much of an agent: one
+ * ALIVE a second to each, and one at once when it starts to leave. */
+static void
+test_alive(void)
+{
+    struct FixtureSetup setup = {.members = MEMBERS};
+    const struct FixtureSent *alive;
+    uint32_t count;
+
+    AgentFixture_Init(&fixture, &setup);
+    g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_ALIVE), ==,
+                     MEMBERS);
+    AgentFixture_Advance(&fixture, 20000000);
+    count = AgentFixture_CountSent(&fixture, GB_MESSAGE_ALIVE);
+    g_assert_cmpuint(count, >=, 18 * MEMBERS);
+    g_assert_cmpuint(count, <=, 23 * MEMBERS);
+    GbAgent_Drain(&fixture.agent);
+    g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_ALIVE), ==,
+                     count + MEMBERS);
+    alive = AgentFixture_LastSent(&fixture, GB_MESSAGE_ALIVE);
+    g_assert_true(alive->message.alive.load.is_draining);
+    g_assert_cmpuint(alive->message.token.flow_id, ==, 0);
+    g_assert_cmpuint(alive->message.token.incarnation, ==, 1);
+    AgentFixture_Finish(&fixture);
+}
+
+/* Guards against limits that each agent applies in full: seven agents would
+ * admit seven times the limit of the service. */
+static void
+test_shares(void)
+{
+    struct FixtureSetup setup = {
+        .members = MEMBERS, .flows = 400, .queue = 80, .rate_per_s = 2};
+
+    AgentFixture_Init(&fixture, &setup);
+    g_assert_cmpuint(fixture.agent.flows.limit, ==, 100);
+    AgentFixture_Advance(&fixture, 5000000);
+    g_assert_cmpuint(fixture.agent.flows.limit, ==, 400);
+    AgentFixture_Alive(&fixture, 1, &idle);
+    AgentFixture_Advance(&fixture, 1200000);
+    g_assert_cmpuint(fixture.agent.flows.limit, ==, 200);
+    g_assert_cmpuint(fixture.agent.slots.queue_limit, ==, 40);
+    g_assert_cmpuint(fixture.agent.rate.rate_per_s, ==, 1);
+    AgentFixture_Alive(&fixture, 2, &idle);
+    AgentFixture_Alive(&fixture, 3, &idle);
+    AgentFixture_Advance(&fixture, 1200000);
+    g_assert_cmpuint(fixture.agent.flows.limit, ==, 100);
+    /* Never below one, or a small limit would refuse everything. */
+    g_assert_cmpuint(fixture.agent.rate.rate_per_s, ==, 1);
+    AgentFixture_Finish(&fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/pool/handover", test_handover);
+    g_test_add_func("/pool/no_answer", test_no_answer);
+    g_test_add_func("/pool/full_waiting_table", test_full_waiting_table);
+    g_test_add_func("/pool/duplicate", test_duplicate);
+    g_test_add_func("/pool/received", test_received);
+    g_test_add_func("/pool/authority", test_authority);
+    g_test_add_func("/pool/bound", test_bound);
+    g_test_add_func("/pool/alive", test_alive);
+    g_test_add_func("/pool/shares", test_shares);
+    return g_test_run();
+}
