Refuse a body that is too large in the admission

Cause: only the encoding limited the body of a CALL. The table of waiting CALLs copies it into a fixed buffer, and another front end may not use this encoding.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -137,6 +137,10 @@
         refuse(agent, flow, path, message, GB_NOT_RUN_UNKNOWN_OPERATION);
         return;
     }
+    if (message->call.body.size_bytes > GB_CALL_BODY_BYTES) {
+        refuse(agent, flow, path, message, GB_NOT_RUN_TOO_LARGE);
+        return;
+    }
     reason = reason_to_refuse(agent, flow, operation);
     if (reason != 0) {
         refuse(agent, flow, path, message, reason);
@@ -200,6 +204,7 @@
         GbService_Operation(agent->service, message->call.operation_id);
 
     if (operation == NULL ||
+        message->call.body.size_bytes > GB_CALL_BODY_BYTES ||
         GbFlowTable_Find(&agent->flows, message->flow_id) != NULL) {
         return false;
     }
--- a/tests/support/agent_fixture.c
+++ b/tests/support/agent_fixture.c
@@ -247,6 +247,21 @@
                       token);
 }
 
+void
+AgentFixture_Acknowledge(struct AgentFixture *self, uint64_t flow_id,
+                         uint32_t request_id, const struct GbToken *token)
+{
+    struct GbMessage message = {.kind = GB_MESSAGE_FETCH};
+
+    message.service_id = FIXTURE_SERVICE;
+    message.flow_id = flow_id;
+    message.request_id = request_id;
+    message.has_token = true;
+    message.token = *token;
+    message.fetch.acknowledged = UINT64_MAX;
+    GbAgent_Receive(&self->agent, &caller_path, &message);
+}
+
 struct GbToken
 AgentFixture_Bind(struct AgentFixture *self, uint64_t flow_id,
                   uint32_t request_id)
--- a/tests/support/agent_fixture.h
+++ b/tests/support/agent_fixture.h
@@ -83,6 +83,11 @@
                        uint32_t request_id, enum FixtureOperation operation,
                        const struct GbToken *token);
 
+/* Delivers a FETCH that acknowledges the whole answer and asks for nothing. */
+void AgentFixture_Acknowledge(struct AgentFixture *self, uint64_t flow_id,
+                              uint32_t request_id,
+                              const struct GbToken *token);
+
 /* Binds a flow with FIXTURE_BUY and returns its token. */
 struct GbToken AgentFixture_Bind(struct AgentFixture *self, uint64_t flow_id,
                                  uint32_t request_id);
--- /dev/null
+++ b/tests/test_flow.c
@@ -0,0 +1,448 @@
+#include <glib.h>
+
+#include "state/flow_table.h"
+#include "support/agent_fixture.h"
+
+#define IDLE_US INT64_C(300000000)
+#define FIRST_USE_US INT64_C(10000000)
+
+static struct AgentFixture fixture;
+
+struct MarkCase {
+    const char *name;
+    uint32_t seen;
+    uint32_t refused;
+    uint32_t asked;
+    enum GbRequestMark mark;
+};
+
+static const struct MarkCase mark_cases[] = {
+    {"never seen", 10, 0, 11, GB_MARK_NEW},
+    {"below the highest, never seen", 10, 0, 9, GB_MARK_NEW},
+    {"seen", 10, 0, 10, GB_MARK_SEEN},
+    {"refused", 10, 9, 9, GB_MARK_REFUSED},
+    {"refused as the highest", 10, 11, 11, GB_MARK_REFUSED},
+    {"seen before a refused one", 10, 11, 10, GB_MARK_SEEN},
+    {"last of the window", 100, 0, 100 - 63, GB_MARK_NEW},
+    {"below the window", 100, 0, 100 - 64, GB_MARK_TOO_OLD},
+    {"seen at the end of the window", 10, 10 + 63, 10, GB_MARK_SEEN},
+    {"refused below the window", 10, 10 + 64, 10, GB_MARK_TOO_OLD},
+    {"far beyond", 10, UINT32_MAX, 10, GB_MARK_TOO_OLD},
+};
+
+/* Guards against a request id that is taken for a new one after it was seen,
+ * refused, or left behind: the request would run twice. */
+static void
+test_window(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(mark_cases); i++) {
+        const struct MarkCase *row = &mark_cases[i];
+        struct GbFlow flow = {0};
+
+        g_test_message("%s", row->name);
+        GbFlow_SetSeen(&flow, row->seen);
+        if (row->refused != 0) {
+            GbFlow_SetRefused(&flow, row->refused);
+        }
+        g_assert_cmpint(GbFlow_Mark(&flow, row->asked), ==, row->mark);
+    }
+}
+
+struct TableCase {
+    uint32_t limit;
+    uint32_t added;
+    bool is_full;
+    bool may_add;
+};
+
+static const struct TableCase table_cases[] = {
+    {100, 99, false, true},  {100, 100, true, true}, {100, 124, true, true},
+    {100, 125, true, false}, {1, 1, true, false},    {0, 0, true, false},
+};
+
+/* Guards against a table without a bound, and against one that drops a flow
+ * whose token was issued before it was full. */
+static void
+test_table_limit(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(table_cases); i++) {
+        const struct TableCase *row = &table_cases[i];
+        struct GbFlowTable table;
+
+        GbFlowTable_Init(&table, row->limit);
+        for (uint32_t n = 1; n <= row->added; n++) {
+            g_assert_nonnull(GbFlowTable_Add(&table, n, 0, 0));
+        }
+        g_assert_true(GbFlowTable_IsFull(&table) == row->is_full);
+        g_assert_true((GbFlowTable_Add(&table, 1000, 0, 0) != NULL) ==
+                      row->may_add);
+        GbFlowTable_Finish(&table);
+    }
+}
+
+enum Step {
+    STEP_END,
+    /* CALL of FIXTURE_BUY under the token. */
+    STEP_CALL,
+    /* The same request once more. */
+    STEP_AGAIN,
+    STEP_ANSWER,
+    STEP_FAIL,
+    STEP_SHED,
+    STEP_NOT_STARTED,
+    STEP_CANCEL,
+    STEP_CLOSE,
+    STEP_FETCHED,
+    STEP_NEXT_ID,
+    STEP_SKIP_WINDOW,
+    STEP_PAST_RETENTION,
+    STEP_PAST_FIRST_USE,
+    STEP_ALMOST_FIRST_USE,
+    STEP_PAST_IDLE,
+    STEP_OTHER_INCARNATION,
+    STEP_FILL_SLOT
+};
+
+struct OnceCase {
+    const char *name;
+    enum Step steps[10];
+    /* Times that the request ran. */
+    uint32_t runs;
+    enum GbMessageKind reply;
+    /* Reason of NOT_RUN or UNKNOWN. */
+    uint32_t reason;
+};
+
+static const struct OnceCase once_cases[] = {
+    {"first use", {STEP_CALL}, 1, GB_MESSAGE_ACCEPTED, 0},
+    {"first use just in time",
+     {STEP_ALMOST_FIRST_USE, STEP_CALL},
+     1,
+     GB_MESSAGE_ACCEPTED,
+     0},
+    {"first use too late",
+     {STEP_PAST_FIRST_USE, STEP_CALL},
+     0,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_NO_RECORD},
+    {"later use of a flow with a record",
+     {STEP_CALL, STEP_ANSWER, STEP_PAST_FIRST_USE, STEP_NEXT_ID, STEP_CALL},
+     2,
+     GB_MESSAGE_ACCEPTED,
+     0},
+    {"duplicate while running",
+     {STEP_CALL, STEP_AGAIN},
+     1,
+     GB_MESSAGE_ACCEPTED,
+     0},
+    {"duplicate after the answer",
+     {STEP_CALL, STEP_ANSWER, STEP_AGAIN},
+     1,
+     GB_MESSAGE_DATA,
+     0},
+    {"duplicate after the answer was fetched and dropped",
+     {STEP_CALL, STEP_ANSWER, STEP_FETCHED, STEP_PAST_RETENTION, STEP_AGAIN},
+     1,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_NO_RECORD},
+    {"duplicate after a failure",
+     {STEP_CALL, STEP_FAIL, STEP_AGAIN},
+     1,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_TARGET_FAILED},
+    {"duplicate after a shed answer",
+     {STEP_CALL, STEP_SHED, STEP_AGAIN},
+     1,
+     GB_MESSAGE_NOT_RUN,
+     GB_NOT_RUN_BUSY},
+    {"duplicate after a connection that failed",
+     {STEP_CALL, STEP_NOT_STARTED, STEP_AGAIN},
+     1,
+     GB_MESSAGE_NOT_RUN,
+     GB_NOT_RUN_BUSY},
+    {"duplicate below the window",
+     {STEP_CALL, STEP_ANSWER, STEP_FETCHED, STEP_PAST_RETENTION,
+      STEP_SKIP_WINDOW, STEP_AGAIN},
+     1,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_NO_RECORD},
+    {"duplicate below the window whose answer is still held",
+     {STEP_CALL, STEP_ANSWER, STEP_SKIP_WINDOW, STEP_AGAIN},
+     1,
+     GB_MESSAGE_DATA,
+     0},
+    {"duplicate after CANCEL while running",
+     {STEP_CALL, STEP_CANCEL, STEP_AGAIN},
+     1,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_CANCELLED},
+    {"duplicate after CANCEL while queued",
+     {STEP_FILL_SLOT, STEP_CALL, STEP_CANCEL, STEP_AGAIN},
+     0,
+     GB_MESSAGE_NOT_RUN,
+     GB_NOT_RUN_BUSY},
+    {"duplicate after CLOSE",
+     {STEP_CALL, STEP_ANSWER, STEP_CLOSE, STEP_AGAIN},
+     1,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_NO_RECORD},
+    {"duplicate after CLOSE while queued",
+     {STEP_FILL_SLOT, STEP_CALL, STEP_CLOSE, STEP_AGAIN},
+     0,
+     GB_MESSAGE_NOT_RUN,
+     GB_NOT_RUN_BUSY},
+    {"new request after CLOSE",
+     {STEP_CALL, STEP_ANSWER, STEP_CLOSE, STEP_NEXT_ID, STEP_CALL},
+     2,
+     GB_MESSAGE_ACCEPTED,
+     0},
+    {"duplicate after the flow has expired",
+     {STEP_CALL, STEP_ANSWER, STEP_PAST_IDLE, STEP_AGAIN},
+     1,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_NO_RECORD},
+    {"token of another incarnation",
+     {STEP_OTHER_INCARNATION, STEP_CALL},
+     0,
+     GB_MESSAGE_UNKNOWN,
+     GB_UNKNOWN_NO_RECORD},
+};
+
+struct Run {
+    struct GbToken token;
+    uint32_t request_id;
+};
+
+static void
+take_step(struct Run *run, enum Step step)
+{
+    switch (step) {
+    case STEP_CALL:
+    case STEP_AGAIN:
+        AgentFixture_Call(&fixture, 1, run->request_id, FIXTURE_BUY,
+                          &run->token);
+        break;
+    case STEP_ANSWER:
+        AgentFixture_Answer(&fixture, fixture.started_count - 1);
+        break;
+    case STEP_FAIL:
+        AgentFixture_End(&fixture, 0, GB_TARGET_FAILED);
+        break;
+    case STEP_SHED:
+        AgentFixture_End(&fixture, 0, GB_TARGET_SHED);
+        break;
+    case STEP_NOT_STARTED:
+        AgentFixture_End(&fixture, 0, GB_TARGET_NOT_STARTED);
+        break;
+    case STEP_CANCEL:
+        AgentFixture_Send(&fixture, GB_MESSAGE_CANCEL, 1, run->request_id,
+                          FIXTURE_BUY, &run->token);
+        break;
+    case STEP_CLOSE:
+        AgentFixture_Send(&fixture, GB_MESSAGE_CLOSE, 1, run->request_id,
+                          FIXTURE_BUY, &run->token);
+        break;
+    case STEP_FETCHED:
+        AgentFixture_Acknowledge(&fixture, 1, run->request_id, &run->token);
+        break;
+    case STEP_NEXT_ID:
+        run->request_id++;
+        break;
+    case STEP_SKIP_WINDOW:
+        AgentFixture_Call(&fixture, 1, run->request_id + GB_FLOW_WINDOW_IDS,
+                          (enum FixtureOperation)99, &run->token);
+        break;
+    case STEP_PAST_RETENTION:
+        AgentFixture_Advance(&fixture, 1000000);
+        break;
+    case STEP_PAST_FIRST_USE:
+        AgentFixture_Advance(&fixture, FIRST_USE_US);
+        break;
+    case STEP_ALMOST_FIRST_USE:
+        AgentFixture_Advance(&fixture, FIRST_USE_US - 1000);
+        break;
+    case STEP_PAST_IDLE:
+        /* A finished answer keeps its flow in use for its retention. */
+        AgentFixture_Advance(&fixture, 2 * IDLE_US);
+        break;
+    case STEP_OTHER_INCARNATION:
+        run->token.incarnation++;
+        break;
+    case STEP_FILL_SLOT:
+        AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+        break;
+    case STEP_END:
+        break;
+    }
+}
+
+static uint32_t
+runs_of_flow(uint64_t flow_id)
+{
+    uint32_t runs = 0;
+
+    for (uint32_t i = 0; i < fixture.started_count; i++) {
+        runs += fixture.started[i].flow_id == flow_id;
+    }
+    return runs;
+}
+
+/* Guards against a non-idempotent request that runs twice, or that runs after
+ * the caller was told "not run". */
+static void
+test_at_most_once(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(once_cases); i++) {
+        const struct OnceCase *row = &once_cases[i];
+        struct FixtureSetup setup = {0};
+        struct Run run = {.request_id = 2};
+        const struct GbMessage *reply;
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        run.token = AgentFixture_Bind(&fixture, 1, 1);
+        for (size_t n = 0; row->steps[n] != STEP_END; n++) {
+            take_step(&run, row->steps[n]);
+        }
+        reply = AgentFixture_LastReply(&fixture);
+        g_assert_cmpstr(GbMessage_KindName(reply->kind), ==,
+                        GbMessage_KindName(row->reply));
+        g_assert_cmpuint(reply->request_id, ==, run.request_id);
+        if (reply->kind == GB_MESSAGE_NOT_RUN) {
+            g_assert_cmpuint(reply->not_run, ==, row->reason);
+        }
+        if (reply->kind == GB_MESSAGE_UNKNOWN) {
+            g_assert_cmpuint(reply->unknown, ==, row->reason);
+        }
+        g_assert_cmpuint(runs_of_flow(1), ==, row->runs);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+/* Guards against a duplicate of an unbound CALL that runs after the first
+ * copy was refused: no flow record remembers it. */
+static void
+test_refused_unbound(void)
+{
+    struct FixtureSetup setup = {.flows = 1};
+
+    AgentFixture_Init(&fixture, &setup);
+    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_LIMIT);
+    AgentFixture_Answer(&fixture, 0);
+    AgentFixture_Advance(&fixture, 2 * IDLE_US);
+    g_assert_cmpuint(GbFlowTable_Count(&fixture.agent.flows), ==, 0);
+    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_BUSY);
+    g_assert_cmpuint(runs_of_flow(2), ==, 0);
+    AgentFixture_Call(&fixture, 2, 2, FIXTURE_LOOK, NULL);
+    g_assert_cmpuint(runs_of_flow(2), ==, 1);
+    AgentFixture_Finish(&fixture);
+}
+
+/* Guards against a memory of refused CALLs without a bound, and against one
+ * that forgets the latest first. */
+static void
+test_recent_bound(void)
+{
+    struct GbRecentCalls recent;
+
+    GbRecentCalls_Init(&recent);
+    for (uint32_t i = 0; i <= GB_RECENT_CALLS_MAX; i++) {
+        GbRecentCalls_Add(&recent, 1, i, GB_RECENT_REFUSED);
+        GbRecentCalls_Add(&recent, 1, i, GB_RECENT_REFUSED);
+    }
+    g_assert_cmpuint(recent.by_age.length, ==, GB_RECENT_CALLS_MAX);
+    g_assert_cmpint(GbRecentCalls_Find(&recent, 1, 0), ==, GB_RECENT_NONE);
+    g_assert_cmpint(GbRecentCalls_Find(&recent, 1, 1), ==, GB_RECENT_REFUSED);
+    g_assert_cmpint(GbRecentCalls_Find(&recent, 1, GB_RECENT_CALLS_MAX), ==,
+                    GB_RECENT_REFUSED);
+    g_assert_cmpint(GbRecentCalls_Find(&recent, 2, 1), ==, GB_RECENT_NONE);
+    GbRecentCalls_Finish(&recent);
+}
+
+/* Guards against a first use that is refused although its token was issued,
+ * and against one without a record, which could run twice. */
+static void
+test_first_use_beyond_limit(void)
+{
+    struct FixtureSetup setup = {.flows = 4};
+    struct GbToken tokens[7];
+
+    AgentFixture_Init(&fixture, &setup);
+    for (uint32_t i = 1; i <= 6; i++) {
+        tokens[i] = AgentFixture_Bind(&fixture, i, 1);
+    }
+    for (uint32_t i = 1; i <= 5; i++) {
+        AgentFixture_Call(&fixture, i, 2, FIXTURE_BUY, &tokens[i]);
+        g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+                        GB_MESSAGE_ACCEPTED);
+    }
+    AgentFixture_Call(&fixture, 6, 2, FIXTURE_BUY, &tokens[6]);
+    AgentFixture_AssertUnknown(&fixture, 2, GB_UNKNOWN_NO_RECORD);
+    AgentFixture_Call(&fixture, 7, 1, FIXTURE_BUY, NULL);
+    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_LIMIT);
+    AgentFixture_Finish(&fixture);
+}
+
+struct ForeignCase {
+    const char *name;
+    uint64_t flow_id;
+    bool has_token;
+    struct GbToken change;
+};
+
+/* Fields of change that are not zero replace those of a genuine token. */
+static const struct ForeignCase foreign_cases[] = {
+    {"flow 0", 0, false, {0}},
+    {"flow 0 with the token of a member", 0, true, {0}},
+    {"token of another flow", 2, true, {0}},
+    {"token of another instance", 1, true, {.instance_id = 5}},
+    {"token of another service", 1, true, {.service_id = 5}},
+};
+
+/* Guards against an agent that runs or answers what is not its own. */
+static void
+test_foreign(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(foreign_cases); i++) {
+        const struct ForeignCase *row = &foreign_cases[i];
+        struct FixtureSetup setup = {0};
+        struct GbToken token;
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        token = AgentFixture_Bind(&fixture, 1, 1);
+        if (row->flow_id == 0) {
+            token.flow_id = 0;
+        }
+        if (row->change.instance_id != 0) {
+            token.instance_id = row->change.instance_id;
+        }
+        if (row->change.service_id != 0) {
+            token.service_id = row->change.service_id;
+        }
+        fixture.reply_count = 0;
+        AgentFixture_Call(&fixture, row->flow_id, 2, FIXTURE_LOOK,
+                          row->has_token ? &token : NULL);
+        g_assert_cmpuint(fixture.reply_count, ==, 0);
+        g_assert_cmpuint(fixture.started_count, ==, 0);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/flow/window", test_window);
+    g_test_add_func("/flow/table_limit", test_table_limit);
+    g_test_add_func("/flow/at_most_once", test_at_most_once);
+    g_test_add_func("/flow/refused_unbound", test_refused_unbound);
+    g_test_add_func("/flow/recent_bound", test_recent_bound);
+    g_test_add_func("/flow/first_use_beyond_limit",
+                    test_first_use_beyond_limit);
+    g_test_add_func("/flow/foreign", test_foreign);
+    return g_test_run();
+}
