Test flows, admission and received hand-overs

The first runs let two pass (the shift of the window, the rate after a pause); rows were added for them.

--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -265,6 +265,9 @@
     /* The full bucket and ten seconds. */
     g_assert_cmpuint(admitted, ==, 110);
     admitted = 0;
+    for (int64_t now_us = 90000000; now_us < 100000000; now_us += 1000000) {
+        g_assert_true(GbRateLimit_IsOpen(&limit, now_us));
+    }
     while (GbRateLimit_IsOpen(&limit, 100000000)) {
         GbRateLimit_Take(&limit);
         admitted++;
--- a/tests/test_agent_wire.c
+++ b/tests/test_agent_wire.c
@@ -84,9 +84,8 @@
     if (damage == DAMAGE_PATH_TAG) {
         handover->path.tag++;
     }
-    return GbCodec_Encode(&message,
-                          damage == DAMAGE_TOKEN_KEY ? &other : keys, buffer,
-                          GB_ENVELOPE_BYTES);
+    return GbCodec_Encode(&message, damage == DAMAGE_TOKEN_KEY ? &other : keys,
+                          buffer, GB_ENVELOPE_BYTES);
 }
 
 /* Guards against a hand-over with which anyone could make a balancer send to
@@ -121,8 +120,8 @@
             wire.super.klass->reply(&wire.super, path, &fixture.replies[0]);
             g_assert_cmpuint(last.to.ipv4, ==, 0x7f000002);
             g_assert_cmpuint(last.to.port, ==, 6000);
-            g_assert_true(GbEnvelope_IsEnvelope(last.header,
-                                                last.header_bytes));
+            g_assert_true(
+                GbEnvelope_IsEnvelope(last.header, last.header_bytes));
         }
         AgentFixture_Finish(&fixture);
     }
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -27,6 +27,8 @@
     {"below the window", 100, 0, 100 - 64, GB_MARK_TOO_OLD},
     {"seen at the end of the window", 10, 10 + 63, 10, GB_MARK_SEEN},
     {"refused below the window", 10, 10 + 64, 10, GB_MARK_TOO_OLD},
+    {"never seen after a jump beyond the window", 10, 10 + 65, 10 + 64,
+     GB_MARK_NEW},
     {"far beyond", 10, UINT32_MAX, 10, GB_MARK_TOO_OLD},
 };
 
