Poll the health and load endpoints of the target

Cause: an agent learnt of a leaving, starting or unreachable target from its own requests only.

Change: the target task reads /health and then /load, one at a time, once a second with a tenth of jitter and 500 ms for each exchange, and mails the result to the data task. A refused connection is told apart from an endpoint that does not answer in time, which counts as no evidence.

Result: test_target_poll covers ten kinds of answers against a local HTTP server, with one poll at a time and its period; all tests pass.

--- /dev/null
+++ b/src/protocol/target_report.c
@@ -0,0 +1,49 @@
+#include "protocol/target_report.h"
+
+#include <jansson.h>
+#include <string.h>
+
+struct HealthName {
+    const char *name;
+    enum GbTargetHealth health;
+};
+
+static const struct HealthName health_names[] = {
+    {"ok", GB_HEALTH_OK},
+    {"starting", GB_HEALTH_STARTING},
+    {"leaving", GB_HEALTH_LEAVING},
+};
+
+static json_t *
+load(const uint8_t *data, size_t size_bytes)
+{
+    return data != NULL ? json_loadb((const char *)data, size_bytes, 0, NULL)
+                        : NULL;
+}
+
+enum GbTargetHealth
+GbTargetReport_Health(const uint8_t *data, size_t size_bytes)
+{
+    enum GbTargetHealth health = GB_HEALTH_UNKNOWN;
+    json_t *root = load(data, size_bytes);
+    const char *state = json_string_value(json_object_get(root, "state"));
+
+    for (size_t i = 0; i < sizeof(health_names) / sizeof(health_names[0]);
+         i++) {
+        if (state != NULL && strcmp(state, health_names[i].name) == 0) {
+            health = health_names[i].health;
+        }
+    }
+    json_decref(root);
+    return health;
+}
+
+uint32_t
+GbTargetReport_Slots(const uint8_t *data, size_t size_bytes)
+{
+    json_t *root = load(data, size_bytes);
+    json_int_t slots = json_integer_value(json_object_get(root, "slots"));
+
+    json_decref(root);
+    return slots > 0 && slots <= UINT32_MAX ? (uint32_t)slots : 0;
+}
--- a/src/transport/agent_task.c
+++ b/src/transport/agent_task.c
@@ -112,6 +112,12 @@
 
         GbAgent_TargetEnded(&self->agent, ended->work_id, ended->end);
     }
+    else if (mail->klass == &GbPolledMail_Class) {
+        const struct GbPolledMail *polled = (struct GbPolledMail *)mail;
+
+        GbAgent_TargetHealth(&self->agent, polled->health);
+        GbAgent_TargetLoad(&self->agent, polled->slots);
+    }
     else if (mail->klass == &GbDrainMail_Class) {
         GbAgent_Drain(&self->agent);
     }
--- a/src/transport/mails.c
+++ b/src/transport/mails.c
@@ -32,6 +32,7 @@
 const struct GbMailClass GbAnsweredMail_Class = {free_plain};
 const struct GbMailClass GbSentMail_Class = {free_sent};
 const struct GbMailClass GbEndedMail_Class = {free_plain};
+const struct GbMailClass GbPolledMail_Class = {free_plain};
 
 struct GbMail *
 GbViewMail_New(struct GbView *view)
@@ -145,3 +146,14 @@
     mail->end = end;
     return &mail->super;
 }
+
+struct GbMail *
+GbPolledMail_New(enum GbTargetHealth health, uint32_t slots)
+{
+    struct GbPolledMail *mail = g_new0(struct GbPolledMail, 1);
+
+    mail->super.klass = &GbPolledMail_Class;
+    mail->health = health;
+    mail->slots = slots;
+    return &mail->super;
+}
--- a/src/transport/mails.h
+++ b/src/transport/mails.h
@@ -77,6 +77,14 @@
     enum GbTargetEnd end;
 };
 
+/* From an agent's target task to its data task: what the target says of
+ * itself. */
+struct GbPolledMail {
+    struct GbMail super;
+    enum GbTargetHealth health;
+    uint32_t slots;
+};
+
 extern const struct GbMailClass GbViewMail_Class;
 extern const struct GbMailClass GbCountersMail_Class;
 extern const struct GbMailClass GbRevisionMail_Class;
@@ -87,6 +95,7 @@
 extern const struct GbMailClass GbAnsweredMail_Class;
 extern const struct GbMailClass GbSentMail_Class;
 extern const struct GbMailClass GbEndedMail_Class;
+extern const struct GbMailClass GbPolledMail_Class;
 
 /* Takes its own reference of view. */
 struct GbMail *GbViewMail_New(struct GbView *view);
@@ -103,5 +112,6 @@
 struct GbMail *GbSentMail_New(uint64_t work_id, uint8_t *data,
                               uint32_t size_bytes);
 struct GbMail *GbEndedMail_New(uint64_t work_id, enum GbTargetEnd end);
+struct GbMail *GbPolledMail_New(enum GbTargetHealth health, uint32_t slots);
 
 #endif
--- /dev/null
+++ b/src/transport/target_poll.h
@@ -0,0 +1,59 @@
+#ifndef GB_TRANSPORT_TARGET_POLL_H
+#define GB_TRANSPORT_TARGET_POLL_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdint.h>
+
+#include "coordination/target_state.h"
+#include "state/address.h"
+#include "state/clock.h"
+#include "state/random.h"
+
+struct GbTargetPollListener;
+
+/* Is told the outcome of each poll. */
+struct GbTargetPollListenerClass {
+    /* slots is 0 if the load endpoint does not say. */
+    void (*polled)(struct GbTargetPollListener *self,
+                   enum GbTargetHealth health, uint32_t slots);
+};
+
+struct GbTargetPollListener {
+    const struct GbTargetPollListenerClass *klass;
+};
+
+enum GbTargetPollStep { GB_POLL_IDLE, GB_POLL_HEALTH, GB_POLL_LOAD };
+
+/* Reads the health and then the load endpoint of the target, one at a time,
+ * about once a second. */
+struct GbTargetPoll {
+    struct event_base *base;
+    struct GbAddress target;
+    struct GbClock *clock;
+    struct GbRandom *random;
+    struct GbTargetPollListener *listener;
+    enum GbTargetPollStep step;
+    int64_t next_us;
+    struct evhttp_connection *connection;
+    /* Ends a step, outside of the callbacks of its connection. */
+    struct event *end;
+    enum GbTargetHealth health;
+    uint32_t slots;
+};
+
+/* All arguments must outlive self. */
+void GbTargetPoll_Init(struct GbTargetPoll *self, struct event_base *base,
+                       const struct GbAddress *target, struct GbClock *clock,
+                       struct GbRandom *random,
+                       struct GbTargetPollListener *listener);
+
+void GbTargetPoll_Finish(struct GbTargetPoll *self);
+
+/* When GbTargetPoll_Tick is next wanted; GB_TIMER_NEVER during a poll. */
+int64_t GbTargetPoll_NextTimerUs(const struct GbTargetPoll *self);
+
+/* Starts a poll if one is due. */
+void GbTargetPoll_Tick(struct GbTargetPoll *self);
+
+#endif
--- a/src/transport/target_task.c
+++ b/src/transport/target_task.c
@@ -2,7 +2,6 @@
 
 #include <stddef.h>
 
-#include "state/timer_queue.h"
 #include "transport/mails.h"
 
 #define MAILBOX_LIMIT 4096
@@ -40,6 +39,22 @@
     .ended = post_ended,
 };
 
+static void
+post_polled(struct GbTargetPollListener *listener, enum GbTargetHealth health,
+            uint32_t slots)
+{
+    struct GbTargetTask *self =
+        (struct GbTargetTask *)((char *)listener - offsetof(struct GbTargetTask,
+                                                            poll_listener));
+
+    /* The next poll makes up for one that is dropped. */
+    GbTask_Offer(self->data, GbPolledMail_New(health, slots));
+}
+
+static const struct GbTargetPollListenerClass poll_listener_class = {
+    .polled = post_polled,
+};
+
 static enum GbTransportStatus
 task_open(struct GbTask *task, struct GbLastMessage *last)
 {
@@ -48,6 +63,8 @@
     (void)last;
     GbTargetClient_Init(&self->client, task->base, &self->target,
                         &self->events);
+    GbTargetPoll_Init(&self->poll, task->base, &self->target, task->clock,
+                      &self->random.super, &self->poll_listener);
     return GB_TRANSPORT_OK;
 }
 
@@ -74,8 +91,13 @@
 static int64_t
 task_next_timer_us(struct GbTask *task)
 {
-    (void)task;
-    return GB_TIMER_NEVER;
+    return GbTargetPoll_NextTimerUs(&((struct GbTargetTask *)task)->poll);
+}
+
+static void
+task_tick(struct GbTask *task)
+{
+    GbTargetPoll_Tick(&((struct GbTargetTask *)task)->poll);
 }
 
 static void
@@ -87,7 +109,10 @@
 static void
 task_close(struct GbTask *task)
 {
-    GbTargetClient_Finish(&((struct GbTargetTask *)task)->client);
+    struct GbTargetTask *self = (struct GbTargetTask *)task;
+
+    GbTargetPoll_Finish(&self->poll);
+    GbTargetClient_Finish(&self->client);
 }
 
 static const struct GbTaskClass GbTargetTask_Class = {
@@ -95,7 +120,7 @@
     .open = task_open,
     .receive = task_receive,
     .next_timer_us = task_next_timer_us,
-    .tick = task_nothing,
+    .tick = task_tick,
     .flush = task_nothing,
     .close = task_close,
 };
@@ -106,6 +131,8 @@
 {
     GbTask_Init(&self->super, &GbTargetTask_Class, clock, MAILBOX_LIMIT);
     self->events.klass = &events_class;
+    self->poll_listener.klass = &poll_listener_class;
+    GbSystemRandom_Init(&self->random);
     self->target = *target;
     self->data = data;
 }
--- a/src/transport/target_task.h
+++ b/src/transport/target_task.h
@@ -2,6 +2,7 @@
 #define GB_TRANSPORT_TARGET_TASK_H
 
 #include "transport/target_client.h"
+#include "transport/target_poll.h"
 #include "transport/task.h"
 
 /* Task of an agent that owns the connections to the target. */
@@ -9,6 +10,9 @@
     struct GbTask super;
     struct GbTargetEvents events;
     struct GbTargetClient client;
+    struct GbTargetPollListener poll_listener;
+    struct GbTargetPoll poll;
+    struct GbSystemRandom random;
     struct GbAddress target;
     /* Is told what happens to the work. */
     struct GbTask *data;
