Accept documents in total order with an audit trail

A process kept the document that it read last and had no record of changes. GbAcceptance keeps the highest accepted document, holds at most 4 that wait for in_force_from, reports conflicts and wrong parents, and passes each event to a port as an audit record.

A fifth pending document is refused unless it is due before another one: then it replaces what would never come into force.

--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -87,8 +87,38 @@
     [GB_COUNTER_DOCUMENT_CONFLICTS] =
         {"document_conflicts_total",
          "Documents that share a revision with another one."},
+    [GB_COUNTER_PARENT_MISMATCHES] =
+        {"document_parent_mismatches_total",
+         "Documents whose parent is not the one accepted before."},
+    [GB_COUNTER_INSTANCE_LISTS_ACCEPTED] = {"instance_lists_accepted_total",
+                                            "Instance lists accepted."},
+    [GB_COUNTER_INSTANCE_LISTS_REFUSED] =
+        {"instance_lists_refused_total",
+         "Instance lists refused by a check or as older."},
     [GB_COUNTER_PEER_PULLS] = {"peer_pulls_total",
                                "Documents asked of other processes."},
+    [GB_COUNTER_PEER_PULL_FAILURES] = {"peer_pull_failures_total",
+                                       "Documents asked of other processes "
+                                       "and not received."},
+    [GB_COUNTER_REVISIONS_ANNOUNCED] = {"revisions_announced_total",
+                                        "Revisions sent to other processes."},
+    [GB_COUNTER_REVISIONS_IGNORED] =
+        {"revisions_ignored_total",
+         "Announced revisions from addresses outside the instance list."},
+    [GB_COUNTER_PEER_CONNECTIONS] = {"peer_connections_total",
+                                     "Connections taken from other "
+                                     "processes."},
+    [GB_COUNTER_PEER_CONNECTIONS_REFUSED] =
+        {"peer_connections_refused_total",
+         "Connections of other processes beyond the limit."},
+    [GB_COUNTER_FRAMES_MALFORMED] = {"frames_malformed_total",
+                                     "Frames that did not decode or were too "
+                                     "large."},
+    [GB_COUNTER_FRAMES_FORGED] = {"frames_forged_total",
+                                  "Frames with a wrong keyed hash."},
+    [GB_COUNTER_FRAMES_TIMED_OUT] = {"frames_timed_out_total",
+                                     "Connections closed before a whole frame "
+                                     "had arrived."},
 };
 
 void
--- a/src/state/document.c
+++ b/src/state/document.c
@@ -80,9 +80,33 @@
 int
 GbDocument_Compare(const struct GbDocument *a, const struct GbDocument *b)
 {
+    struct GbDocumentHead head_a;
+    struct GbDocumentHead head_b;
+
     if (a == NULL || b == NULL) {
         return (a != NULL) - (b != NULL);
     }
+    head_a = GbDocument_Head(a);
+    head_b = GbDocument_Head(b);
+    return GbDocumentHead_Compare(&head_a, &head_b);
+}
+
+struct GbDocumentHead
+GbDocument_Head(const struct GbDocument *self)
+{
+    struct GbDocumentHead head = {0};
+
+    if (self != NULL) {
+        head.revision = self->revision;
+        memcpy(head.digest, self->digest, GB_DIGEST_BYTES);
+    }
+    return head;
+}
+
+int
+GbDocumentHead_Compare(const struct GbDocumentHead *a,
+                       const struct GbDocumentHead *b)
+{
     if (a->revision != b->revision) {
         return a->revision < b->revision ? -1 : 1;
     }
@@ -90,20 +114,25 @@
 }
 
 struct GbRevision
-GbDocument_Revision(const struct GbDocument *self)
+GbDocumentHead_Revision(const struct GbDocumentHead *self)
 {
-    struct GbRevision revision = {0, 0};
+    struct GbRevision revision = {self->revision, 0};
 
-    if (self != NULL) {
-        revision.number = self->revision;
-        /* Big-endian, so that prefixes compare as digests do. */
-        revision.digest_prefix =
-            (uint32_t)self->digest[0] << 24 | (uint32_t)self->digest[1] << 16 |
-            (uint32_t)self->digest[2] << 8 | (uint32_t)self->digest[3];
-    }
+    /* Big-endian, so that prefixes compare as digests do. */
+    revision.digest_prefix =
+        (uint32_t)self->digest[0] << 24 | (uint32_t)self->digest[1] << 16 |
+        (uint32_t)self->digest[2] << 8 | (uint32_t)self->digest[3];
     return revision;
 }
 
+struct GbRevision
+GbDocument_Revision(const struct GbDocument *self)
+{
+    struct GbDocumentHead head = GbDocument_Head(self);
+
+    return GbDocumentHead_Revision(&head);
+}
+
 int
 GbRevision_Compare(const struct GbRevision *a, const struct GbRevision *b)
 {
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -48,6 +48,12 @@
     uint32_t long_after_ms;
 };
 
+/* Names one document; the order of documents is that of their heads. */
+struct GbDocumentHead {
+    uint64_t revision;
+    uint8_t digest[GB_DIGEST_BYTES];
+};
+
 /* Environment document, decoded and checked. Immutable once published;
  * shared between tasks by reference count. */
 struct GbDocument {
@@ -88,6 +94,16 @@
  * lower than, the same as or higher than b. NULL is lower than any. */
 int GbDocument_Compare(const struct GbDocument *a, const struct GbDocument *b);
 
+/* Revision and digest; zero for NULL. */
+struct GbDocumentHead GbDocument_Head(const struct GbDocument *self);
+
+/* Order of documents by their heads. */
+int GbDocumentHead_Compare(const struct GbDocumentHead *a,
+                           const struct GbDocumentHead *b);
+
+/* Revision and digest prefix as announced to peers. */
+struct GbRevision GbDocumentHead_Revision(const struct GbDocumentHead *self);
+
 /* Revision and digest prefix as announced to peers; zero for NULL. */
 struct GbRevision GbDocument_Revision(const struct GbDocument *self);
 
--- /dev/null
+++ b/tests/test_acceptance.c
@@ -0,0 +1,327 @@
+#include "coordination/acceptance.h"
+
+#include <glib.h>
+
+#include "state/timer_queue.h"
+#include "support/sample_document.h"
+
+#define US_PER_SECOND INT64_C(1000000)
+#define WALL_START_US (INT64_C(1900000000) * US_PER_SECOND)
+#define STEPS_MAX 10
+#define NONE GB_AUDIT_EVENT_END
+
+enum StepKind { STEP_END, STEP_OFFER, STEP_ADVANCE, STEP_STEP_WALL };
+
+/* One step and what must hold after it. */
+struct Step {
+    enum StepKind kind;
+    uint64_t revision;
+    uint8_t digest;
+    uint8_t parent;
+    /* in_force_from after the start of the case, or seconds to move. */
+    int64_t time_s;
+    enum GbCoordinationStatus status;
+    uint64_t in_force;
+    uint32_t pending;
+    /* Newest audit record after the step; NONE if it added none. */
+    enum GbAuditEvent audited;
+};
+
+struct AcceptanceCase {
+    const char *name;
+    struct Step steps[STEPS_MAX];
+};
+
+static const struct AcceptanceCase acceptance_cases[] = {
+    {"a document that is due comes into force at once",
+     {{STEP_OFFER, 1, 1, 0, -5, GB_COORDINATION_OK, 1, 0, GB_AUDIT_IN_FORCE}}},
+    {"a lower revision is refused",
+     {{STEP_OFFER, 2, 1, 0, 0, GB_COORDINATION_OK, 2, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 1, 9, 0, 0, GB_COORDINATION_STALE, 2, 0,
+       GB_AUDIT_REFUSED_LOWER}}},
+    {"the same document again changes and reports nothing",
+     {{STEP_OFFER, 2, 1, 0, 0, GB_COORDINATION_OK, 2, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 2, 1, 0, 0, GB_COORDINATION_STALE, 2, 0, NONE}}},
+    {"a refusal that repeats is reported once",
+     {{STEP_OFFER, 2, 1, 0, 0, GB_COORDINATION_OK, 2, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 1, 9, 0, 0, GB_COORDINATION_STALE, 2, 0,
+       GB_AUDIT_REFUSED_LOWER},
+      {STEP_OFFER, 1, 9, 0, 0, GB_COORDINATION_STALE, 2, 0, NONE}}},
+    {"of two documents of one revision the higher digest wins, coming last",
+     {{STEP_OFFER, 1, 1, 0, 0, GB_COORDINATION_OK, 1, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 2, 3, 1, 60, GB_COORDINATION_OK, 1, 1, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 2, 4, 1, 60, GB_COORDINATION_OK, 1, 1,
+       GB_AUDIT_PARENT_MISMATCH},
+      {STEP_OFFER, 2, 3, 1, 60, GB_COORDINATION_STALE, 1, 1,
+       GB_AUDIT_CONFLICT}}},
+    {"of two documents of one revision the higher digest wins, coming first",
+     {{STEP_OFFER, 2, 4, 1, 0, GB_COORDINATION_OK, 2, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 2, 3, 1, 0, GB_COORDINATION_STALE, 2, 0,
+       GB_AUDIT_CONFLICT}}},
+    {"a document waits for its time",
+     {{STEP_OFFER, 1, 1, 0, 0, GB_COORDINATION_OK, 1, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 2, 2, 1, 10, GB_COORDINATION_OK, 1, 1, GB_AUDIT_ACCEPTED},
+      {STEP_ADVANCE, 0, 0, 0, 9, GB_COORDINATION_OK, 1, 1, NONE},
+      {STEP_ADVANCE, 0, 0, 0, 1, GB_COORDINATION_OK, 2, 0,
+       GB_AUDIT_IN_FORCE}}},
+    {"the highest of several that came due while paused is in force",
+     {{STEP_OFFER, 1, 1, 0, 10, GB_COORDINATION_OK, 0, 1, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 2, 2, 1, 20, GB_COORDINATION_OK, 0, 2, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 3, 3, 2, 90, GB_COORDINATION_OK, 0, 3, GB_AUDIT_ACCEPTED},
+      {STEP_ADVANCE, 0, 0, 0, 60, GB_COORDINATION_OK, 2, 1,
+       GB_AUDIT_IN_FORCE}}},
+    {"what is in force stays when the wall clock steps back",
+     {{STEP_OFFER, 1, 1, 0, 0, GB_COORDINATION_OK, 1, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 2, 2, 1, 10, GB_COORDINATION_OK, 1, 1, GB_AUDIT_ACCEPTED},
+      {STEP_ADVANCE, 0, 0, 0, 10, GB_COORDINATION_OK, 2, 0, GB_AUDIT_IN_FORCE},
+      {STEP_STEP_WALL, 0, 0, 0, -3600, GB_COORDINATION_OK, 2, 0, NONE},
+      {STEP_OFFER, 1, 1, 0, 0, GB_COORDINATION_STALE, 2, 0,
+       GB_AUDIT_REFUSED_LOWER}}},
+    {"a step forward brings a pending document into force",
+     {{STEP_OFFER, 1, 1, 0, 600, GB_COORDINATION_OK, 0, 1, GB_AUDIT_ACCEPTED},
+      {STEP_STEP_WALL, 0, 0, 0, 600, GB_COORDINATION_OK, 1, 0,
+       GB_AUDIT_IN_FORCE}}},
+    {"a higher document that is due earlier replaces pending ones",
+     {{STEP_OFFER, 1, 1, 0, 600, GB_COORDINATION_OK, 0, 1, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 2, 2, 1, 0, GB_COORDINATION_OK, 2, 0, GB_AUDIT_IN_FORCE},
+      {STEP_ADVANCE, 0, 0, 0, 600, GB_COORDINATION_OK, 2, 0, NONE}}},
+    {"a fifth pending document is refused until there is room",
+     {{STEP_OFFER, 1, 1, 0, 10, GB_COORDINATION_OK, 0, 1, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 2, 2, 1, 20, GB_COORDINATION_OK, 0, 2, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 3, 3, 2, 30, GB_COORDINATION_OK, 0, 3, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 4, 4, 3, 40, GB_COORDINATION_OK, 0, 4, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 5, 5, 4, 50, GB_COORDINATION_FULL, 0, 4,
+       GB_AUDIT_REFUSED_PENDING_LIMIT},
+      {STEP_ADVANCE, 0, 0, 0, 10, GB_COORDINATION_OK, 1, 3, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 5, 5, 4, 50, GB_COORDINATION_OK, 1, 4, GB_AUDIT_ACCEPTED}}},
+    {"an urgent document is accepted while four are pending",
+     {{STEP_OFFER, 1, 1, 0, 10, GB_COORDINATION_OK, 0, 1, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 2, 2, 1, 20, GB_COORDINATION_OK, 0, 2, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 3, 3, 2, 30, GB_COORDINATION_OK, 0, 3, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 4, 4, 3, 40, GB_COORDINATION_OK, 0, 4, GB_AUDIT_ACCEPTED},
+      {STEP_OFFER, 5, 5, 4, 0, GB_COORDINATION_OK, 5, 0, GB_AUDIT_IN_FORCE}}},
+    {"a parent that is not the document before is reported",
+     {{STEP_OFFER, 1, 1, 0, 0, GB_COORDINATION_OK, 1, 0, GB_AUDIT_IN_FORCE},
+      {STEP_OFFER, 2, 2, 7, 60, GB_COORDINATION_OK, 1, 1,
+       GB_AUDIT_PARENT_MISMATCH}}},
+};
+
+struct Recorder {
+    struct GbAcceptancePort super;
+    struct GbAudit audit;
+};
+
+static void
+record_audit(struct GbAcceptancePort *port, const struct GbAuditRecord *record)
+{
+    GbAudit_Add(&((struct Recorder *)port)->audit, record);
+}
+
+static const struct GbAcceptancePortClass recorder_class = {
+    .audit = record_audit,
+};
+
+struct Bench {
+    struct GbManualClock clock;
+    struct GbCounters counters;
+    struct Recorder recorder;
+    struct GbAcceptance acceptance;
+};
+
+static void
+open_bench(struct Bench *bench)
+{
+    GbManualClock_Init(&bench->clock, 0, WALL_START_US);
+    GbCounters_Init(&bench->counters);
+    bench->recorder.super.klass = &recorder_class;
+    GbAudit_Init(&bench->recorder.audit);
+    GbAcceptance_Init(&bench->acceptance, &bench->recorder.super,
+                      &bench->clock.super, &bench->counters);
+}
+
+static enum GbCoordinationStatus
+take_step(struct Bench *bench, const struct Step *step)
+{
+    enum GbCoordinationStatus status = GB_COORDINATION_OK;
+    struct GbDocument *document;
+
+    switch (step->kind) {
+    case STEP_OFFER:
+        document =
+            SampleDocument_New(step->revision, step->digest, step->parent,
+                               WALL_START_US + step->time_s * US_PER_SECOND);
+        status = GbAcceptance_Offer(&bench->acceptance, document,
+                                    GB_SOURCE_PLATFORM);
+        GbDocument_Unref(document);
+        break;
+    case STEP_ADVANCE:
+        GbManualClock_Advance(&bench->clock, step->time_s * US_PER_SECOND);
+        break;
+    default:
+        GbManualClock_StepWall(&bench->clock, step->time_s * US_PER_SECOND);
+        break;
+    }
+    return status;
+}
+
+static void
+check_step(struct Bench *bench, const struct Step *step,
+           uint64_t records_before)
+{
+    const struct GbAcceptance *acceptance = &bench->acceptance;
+    const struct GbAudit *audit = &bench->recorder.audit;
+
+    g_assert_cmpuint(acceptance->in_force.document != NULL
+                         ? acceptance->in_force.document->revision
+                         : 0,
+                     ==, step->in_force);
+    g_assert_cmpuint(acceptance->pending_count, ==, step->pending);
+    if (step->audited == NONE) {
+        g_assert_cmpuint(audit->total, ==, records_before);
+        return;
+    }
+    g_assert_cmpuint(audit->total, >, records_before);
+    g_assert_cmpstr(
+        GbAudit_EventName(GbAudit_At(audit, GbAudit_Count(audit) - 1)->event),
+        ==, GbAudit_EventName(step->audited));
+}
+
+/* Guards against a fleet that goes back to an older document, or whose
+ * processes disagree on the document in force. */
+static void
+test_order(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(acceptance_cases); i++) {
+        const struct AcceptanceCase *row = &acceptance_cases[i];
+        struct Bench bench;
+
+        g_test_message("%s", row->name);
+        open_bench(&bench);
+        for (const struct Step *step = row->steps;
+             step < row->steps + STEPS_MAX && step->kind != STEP_END; step++) {
+            uint64_t records_before = bench.recorder.audit.total;
+
+            g_assert_cmpint(take_step(&bench, step), ==, step->status);
+            GbAcceptance_Tick(&bench.acceptance);
+            check_step(&bench, step, records_before);
+        }
+        GbAcceptance_Finish(&bench.acceptance);
+    }
+}
+
+/* Guards against an audit trail that does not say who asked for a change and
+ * when it took effect. */
+static void
+test_record(void)
+{
+    struct Bench bench;
+    struct GbDocument *document =
+        SampleDocument_New(7, 8, 0, WALL_START_US + 10 * US_PER_SECOND);
+    const struct GbAuditRecord *record;
+
+    open_bench(&bench);
+    GbAcceptance_Offer(&bench.acceptance, document, GB_SOURCE_PEER);
+    g_assert_cmpint(GbAcceptance_NextTimerUs(&bench.acceptance), <=,
+                    US_PER_SECOND);
+    GbManualClock_Advance(&bench.clock, 10 * US_PER_SECOND);
+    g_assert_true(GbAcceptance_Tick(&bench.acceptance));
+    g_assert_cmpint(GbAcceptance_NextTimerUs(&bench.acceptance), ==,
+                    GB_TIMER_NEVER);
+    record = GbAudit_At(&bench.recorder.audit, 1);
+    g_assert_cmpint(record->event, ==, GB_AUDIT_IN_FORCE);
+    g_assert_cmpuint(record->head.revision, ==, 7);
+    g_assert_cmpmem(record->head.digest, GB_DIGEST_BYTES, document->digest,
+                    GB_DIGEST_BYTES);
+    g_assert_cmpstr(record->requested_by, ==, "tester");
+    g_assert_cmpint(record->source, ==, GB_SOURCE_PEER);
+    g_assert_cmpint(record->accepted_at_us, ==, WALL_START_US);
+    g_assert_cmpint(record->in_force_at_us, ==,
+                    WALL_START_US + 10 * US_PER_SECOND);
+    GbAcceptance_Finish(&bench.acceptance);
+    GbDocument_Unref(document);
+}
+
+struct WantCase {
+    const char *name;
+    struct GbDocumentHead head;
+    bool is_wanted;
+    enum GbAuditEvent audited;
+};
+
+static const struct WantCase want_cases[] = {
+    {"higher revision", {3, {0}}, true, NONE},
+    {"the same",
+     {2, {5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5}},
+     false,
+     NONE},
+    {"same revision, higher digest", {2, {6}}, true, NONE},
+    {"same revision, lower digest", {2, {4}}, false, GB_AUDIT_CONFLICT},
+    {"lower revision", {1, {9}}, false, GB_AUDIT_REFUSED_LOWER},
+    {"refused as invalid before", {4, {1}}, false, NONE},
+};
+
+/* Guards against reading the same useless document again and again. */
+static void
+test_wants(void)
+{
+    static const struct GbDocumentHead invalid = {4, {1}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(want_cases); i++) {
+        const struct WantCase *row = &want_cases[i];
+        struct GbDocument *document = SampleDocument_New(2, 5, 0, 0);
+        struct Bench bench;
+        uint64_t before;
+
+        g_test_message("%s", row->name);
+        open_bench(&bench);
+        GbAcceptance_Offer(&bench.acceptance, document, GB_SOURCE_PLATFORM);
+        GbAcceptance_RefuseInvalid(&bench.acceptance, &invalid,
+                                   GB_SOURCE_PLATFORM);
+        before = bench.recorder.audit.total;
+        g_assert_cmpint(GbAcceptance_Wants(&bench.acceptance, &row->head,
+                                           GB_SOURCE_PLATFORM),
+                        ==, row->is_wanted);
+        if (row->audited == NONE) {
+            g_assert_cmpuint(bench.recorder.audit.total, ==, before);
+        }
+        else {
+            g_assert_cmpint(
+                GbAudit_At(&bench.recorder.audit, (uint32_t)before)->event, ==,
+                row->audited);
+        }
+        GbAcceptance_Finish(&bench.acceptance);
+        GbDocument_Unref(document);
+    }
+}
+
+/* Guards against an audit trail that grows or that loses its newest
+ * records. */
+static void
+test_ring(void)
+{
+    static struct GbAudit audit;
+
+    GbAudit_Init(&audit);
+    for (uint64_t i = 1; i <= 3 * GB_AUDIT_RECORDS + 7; i++) {
+        struct GbAuditRecord record = {.head = {.revision = i}};
+
+        GbAudit_Add(&audit, &record);
+        g_assert_cmpuint(GbAudit_Count(&audit), ==, MIN(i, GB_AUDIT_RECORDS));
+        g_assert_cmpuint(
+            GbAudit_At(&audit, GbAudit_Count(&audit) - 1)->head.revision, ==,
+            i);
+        g_assert_cmpuint(GbAudit_At(&audit, 0)->head.revision, ==,
+                         i - GbAudit_Count(&audit) + 1);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/acceptance/order", test_order);
+    g_test_add_func("/acceptance/record", test_record);
+    g_test_add_func("/acceptance/wants", test_wants);
+    g_test_add_func("/acceptance/ring", test_ring);
+    return g_test_run();
+}
