Decide when to call the platform and which peer to ask

Every process asked the platform once a second, twice what the platform can take at 9,230 processes, and never asked another process. GbDocumentSync is a state machine over a clock and a random source: two waiting watches, a token bucket of 0.2 calls a second with a burst of 4, backoff with jitter up to 60 s, up to three peers asked before the process is ready, announcements followed one pull at a time, and another peer after a pull that failed.

Watches name the head that the platform answered last and not the own one: a stale platform would otherwise answer each watch at once. After a change the next watch is spread over 5 s and the read of the document over 0.5 s, since a change ends all watches of the fleet at once. Only announcements from addresses of the instance list are followed, because the datagram carries no proof of its sender.

The test fails when the bucket, the check of the announcer's address, the peers asked at start, their time limit, the timeout of a pull, the next peer after it, or the refusal of an empty list is removed.

--- /dev/null
+++ b/tests/support/sync_bench.c
@@ -0,0 +1,389 @@
+#include "support/sync_bench.h"
+
+#include <glib.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "support/sample_document.h"
+
+#define US_PER_MS INT64_C(1000)
+#define US_PER_SECOND INT64_C(1000000)
+#define ANSWER_US (5 * US_PER_MS)
+#define PEER_IPV4 0x7f000001
+#define PEER_PORT 10000
+#define SEED 20261204
+
+#define OF_PORT(pointer)                                                      \
+    ((struct SyncBench *)((char *)(pointer)-offsetof(struct SyncBench, port)))
+#define OF_ACCEPTANCE_PORT(pointer)                                           \
+    ((struct SyncBench *)((char *)(pointer)-offsetof(struct SyncBench,        \
+                                                     acceptance_port)))
+
+static int64_t
+now_us(struct SyncBench *self)
+{
+    return GbClock_MonotonicUs(&self->clock.super);
+}
+
+static struct SyncReply *
+add_reply(struct SyncBench *self, enum SyncCallKind kind, uint32_t call_id,
+          int64_t delay_us)
+{
+    for (int i = 0; i < SYNC_REPLIES_MAX; i++) {
+        struct SyncReply *reply = &self->replies[i];
+
+        if (!reply->is_set) {
+            memset(reply, 0, sizeof(*reply));
+            reply->is_set = true;
+            reply->kind = kind;
+            reply->call_id = call_id;
+            reply->due_us = now_us(self) + delay_us;
+            return reply;
+        }
+    }
+    g_assert_not_reached();
+}
+
+static int64_t
+platform_delay_us(struct SyncBench *self, bool is_waiting, uint32_t wait_ms)
+{
+    self->platform_calls++;
+    switch (self->platform_mode) {
+    case PLATFORM_SLOW:
+        return INT64_MAX / 2;
+    case PLATFORM_DOWN:
+    case PLATFORM_HASTY:
+        return ANSWER_US;
+    default:
+        return is_waiting ? wait_ms * US_PER_MS : ANSWER_US;
+    }
+}
+
+static void
+watch_head(struct GbDocumentSyncPort *port, uint32_t call_id,
+           const struct GbDocumentHead *known, uint32_t wait_ms)
+{
+    struct SyncBench *self = OF_PORT(port);
+    struct GbDocumentHead head = GbDocument_Head(self->platform_document);
+    bool is_waiting = GbDocumentHead_Compare(&head, known) == 0;
+    struct SyncReply *reply =
+        add_reply(self, CALL_HEAD, call_id,
+                  platform_delay_us(self, is_waiting, wait_ms));
+
+    reply->known = *known;
+}
+
+static void
+read_document(struct GbDocumentSyncPort *port, uint32_t call_id,
+              const struct GbDocumentHead *head)
+{
+    struct SyncBench *self = OF_PORT(port);
+
+    self->document_reads++;
+    add_reply(self, CALL_DOCUMENT, call_id, platform_delay_us(self, false, 0))
+        ->known = *head;
+}
+
+static void
+watch_instances(struct GbDocumentSyncPort *port, uint32_t call_id,
+                uint64_t version, uint32_t wait_ms)
+{
+    struct SyncBench *self = OF_PORT(port);
+    bool is_waiting = version == self->list_version;
+
+    add_reply(self, CALL_INSTANCES, call_id,
+              platform_delay_us(self, is_waiting, wait_ms))
+        ->known_version = version;
+}
+
+static void
+pull(struct GbDocumentSyncPort *port, uint32_t call_id,
+     const struct GbAddress *peer, const struct GbDocumentHead *known)
+{
+    struct SyncBench *self = OF_PORT(port);
+    uint32_t index = peer->port - PEER_PORT;
+    struct SyncReply *reply;
+
+    g_assert_cmpuint(index, <, SYNC_PEERS_MAX);
+    self->pulls++;
+    self->active_pulls++;
+    self->active_pulls_max = MAX(self->active_pulls_max, self->active_pulls);
+    reply = add_reply(self, CALL_PULL, call_id,
+                      self->peer_modes[index] == PEER_SILENT ? INT64_MAX / 2
+                                                             : ANSWER_US);
+    reply->known = *known;
+    reply->peer = index;
+}
+
+static void
+stop(struct GbDocumentSyncPort *port, uint32_t call_id)
+{
+    struct SyncBench *self = OF_PORT(port);
+
+    for (int i = 0; i < SYNC_REPLIES_MAX; i++) {
+        struct SyncReply *reply = &self->replies[i];
+
+        if (reply->is_set && reply->call_id == call_id) {
+            reply->is_set = false;
+            self->active_pulls -= reply->kind == CALL_PULL;
+        }
+    }
+}
+
+static void
+announce(struct GbDocumentSyncPort *port, const struct GbAddress *to,
+         const struct GbRevision *revision)
+{
+    (void)to;
+    (void)revision;
+    OF_PORT(port)->announced++;
+}
+
+static void
+publish(struct GbDocumentSyncPort *port, struct GbDocument *document,
+        struct GbInstanceList *list)
+{
+    struct SyncBench *self = OF_PORT(port);
+
+    (void)list;
+    self->published++;
+    if (document->revision < self->published_revision) {
+        self->reverted_to = document->revision;
+    }
+    self->published_revision = document->revision;
+}
+
+static const struct GbDocumentSyncPortClass port_class = {
+    .watch_head = watch_head,
+    .read_document = read_document,
+    .watch_instances = watch_instances,
+    .pull = pull,
+    .stop = stop,
+    .announce = announce,
+    .publish = publish,
+};
+
+static void
+record_audit(struct GbAcceptancePort *port, const struct GbAuditRecord *record)
+{
+    GbAudit_Add(&OF_ACCEPTANCE_PORT(port)->audit, record);
+}
+
+static const struct GbAcceptancePortClass acceptance_port_class = {
+    .audit = record_audit,
+};
+
+static struct GbInstanceList *
+make_list(const struct SyncBench *self)
+{
+    struct GbInstanceList *list = GbInstanceList_New();
+
+    list->version = self->list_version;
+    list->count = self->list_peers + 1;
+    list->instances = g_new0(struct GbInstance, list->count);
+    if (list->count == 0) {
+        return list;
+    }
+    list->instances[0].id = GbInstance_IdOfName(SYNC_OWN_NAME);
+    for (uint32_t i = 0; i < self->list_peers; i++) {
+        list->instances[i + 1].id = i + 1;
+        list->instances[i + 1].address = SyncBench_PeerAddress(i);
+    }
+    return list;
+}
+
+static void
+answer_document(struct SyncBench *self, const struct SyncReply *reply)
+{
+    struct GbDocument *document = self->platform_document;
+    struct GbDocumentHead head = GbDocument_Head(document);
+
+    if (self->platform_mode == PLATFORM_INVALID) {
+        GbDocumentSync_DocumentRead(&self->sync, reply->call_id,
+                                    GB_READ_INVALID, NULL);
+    }
+    else if (self->platform_mode == PLATFORM_GARBAGE ||
+             self->platform_mode == PLATFORM_DOWN ||
+             GbDocumentHead_Compare(&head, &reply->known) != 0) {
+        GbDocumentSync_DocumentRead(&self->sync, reply->call_id,
+                                    GB_READ_FAILED, NULL);
+    }
+    else {
+        GbDocumentSync_DocumentRead(&self->sync, reply->call_id, GB_READ_DONE,
+                                    document);
+    }
+}
+
+static void
+answer_pull(struct SyncBench *self, const struct SyncReply *reply)
+{
+    struct GbDocument *document = self->peer_documents[reply->peer];
+    struct GbDocumentHead head = GbDocument_Head(document);
+    enum GbReadOutcome outcome =
+        GbDocumentHead_Compare(&head, &reply->known) > 0 ? GB_READ_DONE
+                                                         : GB_READ_NOTHING;
+
+    self->active_pulls--;
+    if (self->peer_modes[reply->peer] == PEER_REFUSES) {
+        outcome = GB_READ_FAILED;
+    }
+    GbDocumentSync_PullEnded(&self->sync, reply->call_id, outcome, &head,
+                             document);
+}
+
+static void
+answer(struct SyncBench *self, struct SyncReply *reply)
+{
+    struct GbDocumentHead head = GbDocument_Head(self->platform_document);
+    bool is_down = self->platform_mode == PLATFORM_DOWN;
+    struct GbInstanceList *list;
+
+    reply->is_set = false;
+    switch (reply->kind) {
+    case CALL_HEAD:
+        GbDocumentSync_HeadRead(&self->sync, reply->call_id,
+                                is_down ? NULL : &head);
+        break;
+    case CALL_DOCUMENT:
+        answer_document(self, reply);
+        break;
+    case CALL_INSTANCES:
+        list = is_down ? NULL : make_list(self);
+        GbDocumentSync_InstancesRead(&self->sync, reply->call_id, list);
+        GbInstanceList_Unref(list);
+        break;
+    case CALL_PULL:
+        answer_pull(self, reply);
+        break;
+    }
+}
+
+static struct SyncReply *
+next_reply(struct SyncBench *self)
+{
+    struct SyncReply *next = NULL;
+
+    for (int i = 0; i < SYNC_REPLIES_MAX; i++) {
+        struct SyncReply *reply = &self->replies[i];
+
+        if (reply->is_set && (next == NULL || reply->due_us < next->due_us)) {
+            next = reply;
+        }
+    }
+    return next;
+}
+
+/* Ends the watches that wait for what has just changed. */
+static void
+wake_watches(struct SyncBench *self, enum SyncCallKind kind)
+{
+    for (int i = 0; i < SYNC_REPLIES_MAX; i++) {
+        struct SyncReply *reply = &self->replies[i];
+
+        if (reply->is_set && reply->kind == kind &&
+            self->platform_mode != PLATFORM_SLOW) {
+            reply->due_us = now_us(self) + ANSWER_US;
+        }
+    }
+}
+
+void
+SyncBench_Open(struct SyncBench *self, uint32_t peers)
+{
+    memset(self, 0, sizeof(*self));
+    self->port.klass = &port_class;
+    self->acceptance_port.klass = &acceptance_port_class;
+    self->ready_us = -1;
+    self->list_version = 1;
+    self->list_peers = peers;
+    GbManualClock_Init(&self->clock, 0, SYNC_WALL_START_US);
+    GbSeededRandom_Init(&self->random, SEED);
+    GbCounters_Init(&self->counters);
+    GbAudit_Init(&self->audit);
+    GbAcceptance_Init(&self->acceptance, &self->acceptance_port,
+                      &self->clock.super, &self->counters);
+    GbDocumentSync_Init(&self->sync, GbInstance_IdOfName(SYNC_OWN_NAME),
+                        &self->acceptance, &self->port, &self->clock.super,
+                        &self->random.super, &self->counters);
+}
+
+void
+SyncBench_Close(struct SyncBench *self)
+{
+    GbDocumentSync_Finish(&self->sync);
+    GbAcceptance_Finish(&self->acceptance);
+    GbDocument_Unref(self->platform_document);
+    for (int i = 0; i < SYNC_PEERS_MAX; i++) {
+        GbDocument_Unref(self->peer_documents[i]);
+    }
+}
+
+void
+SyncBench_Publish(struct SyncBench *self, uint64_t revision,
+                  int64_t in_force_s)
+{
+    GbDocument_Unref(self->platform_document);
+    self->platform_document = SampleDocument_New(
+        revision, (uint8_t)revision, (uint8_t)(revision - 1),
+        SYNC_WALL_START_US + in_force_s * US_PER_SECOND);
+    wake_watches(self, CALL_HEAD);
+}
+
+void
+SyncBench_List(struct SyncBench *self, uint64_t version, uint32_t peers)
+{
+    self->list_version = version;
+    self->list_peers = peers;
+    wake_watches(self, CALL_INSTANCES);
+}
+
+void
+SyncBench_Hold(struct SyncBench *self, uint32_t peer, uint64_t revision)
+{
+    GbDocument_Unref(self->peer_documents[peer]);
+    self->peer_documents[peer] =
+        SampleDocument_New(revision, (uint8_t)revision,
+                           (uint8_t)(revision - 1), SYNC_WALL_START_US);
+}
+
+void
+SyncBench_Announce(struct SyncBench *self, uint32_t peer, uint64_t revision)
+{
+    struct GbAddress from = SyncBench_PeerAddress(peer);
+    struct GbDocument *document = SampleDocument_New(
+        revision, (uint8_t)revision, (uint8_t)(revision - 1), 0);
+    struct GbRevision announced = GbDocument_Revision(document);
+
+    GbDocumentSync_Heard(&self->sync, &from, &announced);
+    GbDocument_Unref(document);
+}
+
+struct GbAddress
+SyncBench_PeerAddress(uint32_t peer)
+{
+    struct GbAddress address = {PEER_IPV4, (uint16_t)(PEER_PORT + peer)};
+
+    return address;
+}
+
+void
+SyncBench_RunUntil(struct SyncBench *self, int64_t time_us)
+{
+    while (now_us(self) < time_us) {
+        struct SyncReply *reply = next_reply(self);
+        int64_t next_us = MIN(GbDocumentSync_NextTimerUs(&self->sync),
+                              reply != NULL ? reply->due_us : INT64_MAX);
+
+        if (next_us > now_us(self)) {
+            GbManualClock_Advance(&self->clock,
+                                  MIN(next_us, time_us) - now_us(self));
+        }
+        if (reply != NULL && reply->due_us <= now_us(self)) {
+            answer(self, reply);
+        }
+        GbDocumentSync_Tick(&self->sync);
+        if (self->ready_us < 0 && GbDocumentSync_IsReady(&self->sync)) {
+            self->ready_us = now_us(self);
+        }
+    }
+}
--- /dev/null
+++ b/tests/test_document_sync.c
@@ -0,0 +1,514 @@
+#include <glib.h>
+
+#include "support/sync_bench.h"
+
+#define US_PER_SECOND INT64_C(1000000)
+#define EVENTS_MAX 8
+#define ALL_PEERS (-1)
+#define NEVER_READY UINT32_MAX
+
+enum EventKind {
+    EVENT_END,
+    /* value: mode */
+    EVENT_PLATFORM,
+    /* value: revision; extra: in_force_from in seconds after the start */
+    EVENT_PUBLISH,
+    /* value: version; extra: peers */
+    EVENT_LIST,
+    /* value: mode of peer extra or of all */
+    EVENT_PEERS,
+    /* value: revision that peer extra holds */
+    EVENT_HOLD,
+    /* value: revision that peer extra announces */
+    EVENT_ANNOUNCE,
+    /* value: seconds */
+    EVENT_STEP_WALL
+};
+
+struct Event {
+    uint32_t at_s;
+    enum EventKind kind;
+    int64_t value;
+    int64_t extra;
+};
+
+struct SyncCase {
+    const char *name;
+    uint32_t peers;
+    struct Event events[EVENTS_MAX];
+    uint32_t run_s;
+    uint64_t in_force;
+    /* Latest time of readiness in ms. */
+    uint32_t ready_ms;
+    uint32_t pulls_min;
+    uint32_t pulls_max;
+    uint32_t reads_max;
+    enum GbAuditEvent audited;
+    uint32_t lists_refused;
+};
+
+static const struct SyncCase sync_cases[] = {
+    {"without peers ready at once",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0}},
+     5,
+     1,
+     50,
+     0,
+     0,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"asks three of many peers before it is ready",
+     10,
+     {{0, EVENT_PUBLISH, 1, 0}},
+     5,
+     1,
+     100,
+     3,
+     3,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"asks each of two peers once",
+     2,
+     {{0, EVENT_PUBLISH, 1, 0}},
+     5,
+     1,
+     100,
+     2,
+     2,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"a peer knows a newer document than a stale platform",
+     3,
+     {{0, EVENT_PUBLISH, 4, 0}, {0, EVENT_HOLD, 6, 1}},
+     5,
+     6,
+     100,
+     3,
+     3,
+     1,
+     GB_AUDIT_REFUSED_LOWER,
+     0},
+    {"peers that refuse are replaced by others",
+     10,
+     {{0, EVENT_PUBLISH, 1, 0}, {0, EVENT_PEERS, PEER_REFUSES, ALL_PEERS}},
+     8,
+     1,
+     1000,
+     6,
+     6,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"silent peers hold up readiness for a limited time",
+     10,
+     {{0, EVENT_PUBLISH, 1, 0}, {0, EVENT_PEERS, PEER_SILENT, ALL_PEERS}},
+     10,
+     1,
+     6100,
+     3,
+     3,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"a platform that is down gives nothing",
+     0,
+     {{0, EVENT_PLATFORM, PLATFORM_DOWN, 0}, {0, EVENT_PUBLISH, 1, 0}},
+     60,
+     0,
+     NEVER_READY,
+     0,
+     0,
+     0,
+     GB_AUDIT_EVENT_END,
+     0},
+    {"a platform that comes back is read within the longest backoff",
+     0,
+     {{0, EVENT_PLATFORM, PLATFORM_DOWN, 0},
+      {0, EVENT_PUBLISH, 1, 0},
+      {600, EVENT_PLATFORM, PLATFORM_NORMAL, 0}},
+     700,
+     1,
+     665000,
+     0,
+     0,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"a change on the platform is in force within 9 s",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0}, {60, EVENT_PUBLISH, 2, 0}},
+     69,
+     2,
+     50,
+     0,
+     0,
+     2,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"a document of the future waits",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0}, {60, EVENT_PUBLISH, 2, 120}},
+     119,
+     1,
+     50,
+     0,
+     0,
+     2,
+     GB_AUDIT_ACCEPTED,
+     0},
+    {"a document of the future comes into force",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0}, {60, EVENT_PUBLISH, 2, 120}},
+     121,
+     2,
+     50,
+     0,
+     0,
+     2,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"a step back of the wall clock reverts nothing",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {60, EVENT_PUBLISH, 2, 60},
+      {80, EVENT_STEP_WALL, -7200, 0}},
+     200,
+     2,
+     50,
+     0,
+     0,
+     2,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"an older head of the platform reverts nothing",
+     0,
+     {{0, EVENT_PUBLISH, 5, 0}, {60, EVENT_PUBLISH, 3, 0}},
+     200,
+     5,
+     50,
+     0,
+     0,
+     1,
+     GB_AUDIT_REFUSED_LOWER,
+     0},
+    {"an announced document is pulled from the announcer",
+     3,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {30, EVENT_PLATFORM, PLATFORM_DOWN, 0},
+      {60, EVENT_HOLD, 2, 1},
+      {60, EVENT_ANNOUNCE, 2, 1}},
+     62,
+     2,
+     100,
+     4,
+     4,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"after a silent announcer another peer is asked",
+     3,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {60, EVENT_PEERS, PEER_SILENT, ALL_PEERS},
+      {60, EVENT_HOLD, 2, 1},
+      {60, EVENT_ANNOUNCE, 2, 0},
+      {61, EVENT_PEERS, PEER_NORMAL, ALL_PEERS},
+      {61, EVENT_ANNOUNCE, 2, 1}},
+     64,
+     2,
+     100,
+     5,
+     5,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"after a silent announcer the revision is asked of a random peer",
+     3,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {60, EVENT_HOLD, 2, 1},
+      {60, EVENT_HOLD, 2, 2},
+      {60, EVENT_PEERS, PEER_SILENT, 0},
+      {60, EVENT_ANNOUNCE, 2, 0}},
+     68,
+     2,
+     100,
+     5,
+     6,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"a false announcement is followed once a second at most",
+     3,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {60, EVENT_ANNOUNCE, 9, 0},
+      {61, EVENT_ANNOUNCE, 9, 1},
+      {61, EVENT_ANNOUNCE, 9, 2}},
+     62,
+     1,
+     100,
+     4,
+     5,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"an announcement from outside the list is ignored",
+     3,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {60, EVENT_HOLD, 2, 9},
+      {60, EVENT_ANNOUNCE, 2, 9}},
+     70,
+     1,
+     100,
+     3,
+     3,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"an announcement of the accepted revision is ignored",
+     3,
+     {{0, EVENT_PUBLISH, 1, 0}, {60, EVENT_ANNOUNCE, 1, 0}},
+     70,
+     1,
+     100,
+     3,
+     3,
+     1,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"bytes of another document are not accepted",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {30, EVENT_PLATFORM, PLATFORM_GARBAGE, 0},
+      {30, EVENT_PUBLISH, 2, 0}},
+     90,
+     1,
+     50,
+     0,
+     0,
+     10,
+     GB_AUDIT_IN_FORCE,
+     0},
+    {"an invalid document is read once",
+     0,
+     {{0, EVENT_PUBLISH, 1, 0},
+      {30, EVENT_PLATFORM, PLATFORM_INVALID, 0},
+      {30, EVENT_PUBLISH, 2, 0}},
+     600,
+     1,
+     50,
+     0,
+     0,
+     2,
+     GB_AUDIT_REFUSED_INVALID,
+     0},
+    {"a shorter instance list of a lower version is refused",
+     5,
+     {{0, EVENT_LIST, 7, 5}, {0, EVENT_PUBLISH, 1, 0}, {60, EVENT_LIST, 6, 0}},
+     120,
+     1,
+     100,
+     3,
+     3,
+     1,
+     GB_AUDIT_IN_FORCE,
+     1},
+    {"an empty instance list does not replace a filled one",
+     5,
+     {{0, EVENT_PUBLISH, 1, 0}, {60, EVENT_LIST, 9, SYNC_LIST_EMPTY}},
+     120,
+     1,
+     100,
+     3,
+     3,
+     1,
+     GB_AUDIT_IN_FORCE,
+     1},
+};
+
+static void
+apply(struct SyncBench *bench, const struct Event *event)
+{
+    switch (event->kind) {
+    case EVENT_PLATFORM:
+        bench->platform_mode = (enum PlatformMode)event->value;
+        break;
+    case EVENT_PUBLISH:
+        SyncBench_Publish(bench, (uint64_t)event->value, event->extra);
+        break;
+    case EVENT_LIST:
+        SyncBench_List(bench, (uint64_t)event->value, (uint32_t)event->extra);
+        break;
+    case EVENT_PEERS:
+        for (int i = 0; i < SYNC_PEERS_MAX; i++) {
+            if (event->extra == ALL_PEERS || event->extra == i) {
+                bench->peer_modes[i] = (enum PeerMode)event->value;
+            }
+        }
+        break;
+    case EVENT_HOLD:
+        SyncBench_Hold(bench, (uint32_t)event->extra, (uint64_t)event->value);
+        break;
+    case EVENT_ANNOUNCE:
+        SyncBench_Announce(bench, (uint32_t)event->extra,
+                           (uint64_t)event->value);
+        break;
+    default:
+        GbManualClock_StepWall(&bench->clock, event->value * US_PER_SECOND);
+        break;
+    }
+}
+
+static void
+run_events(struct SyncBench *bench, const struct Event *events, uint32_t run_s)
+{
+    for (const struct Event *event = events;
+         event < events + EVENTS_MAX && event->kind != EVENT_END; event++) {
+        SyncBench_RunUntil(bench, event->at_s * US_PER_SECOND);
+        apply(bench, event);
+    }
+    SyncBench_RunUntil(bench, run_s * US_PER_SECOND);
+}
+
+static void
+check(const struct SyncBench *bench, const struct SyncCase *row)
+{
+    const struct GbDocument *in_force = bench->acceptance.in_force.document;
+
+    g_assert_cmpuint(in_force != NULL ? in_force->revision : 0, ==,
+                     row->in_force);
+    g_assert_cmpuint(bench->reverted_to, ==, 0);
+    if (row->ready_ms == NEVER_READY) {
+        g_assert_cmpint(bench->ready_us, ==, -1);
+        g_assert_cmpuint(bench->published, ==, 0);
+    }
+    else {
+        g_assert_cmpint(bench->ready_us, >=, 0);
+        g_assert_cmpint(bench->ready_us / 1000, <=, row->ready_ms);
+    }
+    g_assert_cmpuint(bench->pulls, >=, row->pulls_min);
+    g_assert_cmpuint(bench->pulls, <=, row->pulls_max);
+    g_assert_cmpuint(bench->active_pulls_max, <=, 1);
+    g_assert_cmpuint(bench->document_reads, <=, row->reads_max);
+    g_assert_cmpuint(bench->counters.values[GB_COUNTER_INSTANCE_LISTS_REFUSED],
+                     ==, row->lists_refused);
+    if (row->audited != GB_AUDIT_EVENT_END) {
+        const struct GbAuditRecord *record =
+            GbAudit_At(&bench->audit, GbAudit_Count(&bench->audit) - 1);
+
+        g_assert_cmpstr(GbAudit_EventName(record->event), ==,
+                        GbAudit_EventName(row->audited));
+    }
+}
+
+/* Guards against processes that start on an old document, that lose a change
+ * while the platform or peers fail, or that are led back to an old one. */
+static void
+test_cases(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(sync_cases); i++) {
+        const struct SyncCase *row = &sync_cases[i];
+        struct SyncBench bench;
+
+        g_test_message("%s", row->name);
+        SyncBench_Open(&bench, row->peers);
+        run_events(&bench, row->events, row->run_s);
+        check(&bench, row);
+        SyncBench_Close(&bench);
+    }
+}
+
+struct CeilingCase {
+    const char *name;
+    enum PlatformMode mode;
+    /* Time between changes of the document; 0 for none. */
+    uint32_t publish_s;
+};
+
+static const struct CeilingCase ceiling_cases[] = {
+    {"normal", PLATFORM_NORMAL, 0},
+    {"normal, a change every second", PLATFORM_NORMAL, 1},
+    {"down", PLATFORM_DOWN, 0},
+    {"never answers", PLATFORM_SLOW, 0},
+    {"never waits", PLATFORM_HASTY, 0},
+    {"never waits, a change every second", PLATFORM_HASTY, 1},
+    {"garbage", PLATFORM_GARBAGE, 0},
+    {"invalid documents, one every second", PLATFORM_INVALID, 1},
+};
+
+#define HOUR_S 3600
+#define BURST 4
+
+/* Guards against a fleet that exceeds the platform's limit of calls while
+ * the platform fails: 0.2 calls a second and 4 more. */
+static void
+test_ceiling(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(ceiling_cases); i++) {
+        const struct CeilingCase *row = &ceiling_cases[i];
+        struct SyncBench bench;
+
+        SyncBench_Open(&bench, 0);
+        SyncBench_Publish(&bench, 1, 0);
+        bench.platform_mode = row->mode;
+        for (uint32_t at_s = 1; at_s <= HOUR_S; at_s++) {
+            uint32_t before = bench.platform_calls;
+
+            SyncBench_RunUntil(&bench, at_s * US_PER_SECOND);
+            if (row->publish_s > 0) {
+                SyncBench_Publish(&bench, 1 + at_s, 0);
+            }
+            g_assert_cmpuint(bench.platform_calls - before, <=, BURST);
+            g_assert_cmpuint(bench.platform_calls, <=, BURST + at_s / 5);
+        }
+        g_test_message("%s: %u calls in an hour", row->name,
+                       bench.platform_calls);
+        g_assert_cmpuint(bench.counters.values[GB_COUNTER_PLATFORM_CALLS], ==,
+                         bench.platform_calls);
+        SyncBench_Close(&bench);
+    }
+}
+
+struct AnnounceCase {
+    const char *name;
+    uint32_t peers;
+    uint32_t run_s;
+    uint32_t min;
+    uint32_t max;
+};
+
+static const struct AnnounceCase announce_cases[] = {
+    {"nobody to tell", 0, 10, 0, 0},
+    {"four at once, then one a second", 10, 10, 12, 14},
+    {"each of two at once, then one a second", 2, 10, 10, 12},
+};
+
+/* Guards against a document that only the platform spreads. */
+static void
+test_announce(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(announce_cases); i++) {
+        const struct AnnounceCase *row = &announce_cases[i];
+        struct SyncBench bench;
+
+        g_test_message("%s", row->name);
+        SyncBench_Open(&bench, row->peers);
+        SyncBench_Publish(&bench, 1, 0);
+        SyncBench_RunUntil(&bench, row->run_s * US_PER_SECOND);
+        g_assert_cmpuint(bench.announced, >=, row->min);
+        g_assert_cmpuint(bench.announced, <=, row->max);
+        SyncBench_Close(&bench);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/document-sync/cases", test_cases);
+    g_test_add_func("/document-sync/ceiling", test_ceiling);
+    g_test_add_func("/document-sync/announce", test_announce);
+    return g_test_run();
+}
