--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -336,8 +336,7 @@
                            : 0;
 
     return self->is_draining && self->request_count == 0 &&
-           !is_token_in_use(self) &&
-           self->handover.waiting.length == 0 &&
+           !is_token_in_use(self) && self->handover.waiting.length == 0 &&
            GbClock_MonotonicUs(self->clock) >=
                self->drain_started_us + limit_us;
 }
