--- a/src/state/flow.h
+++ b/src/state/flow.h
@@ -28,6 +28,7 @@
     uint64_t id;
     /* Issue time of the tokens of this flow. */
     uint64_t issued_ms;
+    int64_t created_us;
     int64_t last_used_us;
     uint32_t highest_id;
     uint64_t seen_bits;
@@ -52,4 +53,8 @@
 /* Request record by id; NULL if there is none. */
 struct GbRequest *GbFlow_Request(const struct GbFlow *self, uint32_t id);
 
+/* Requests whose answer the caller may still need. Those that have failed or
+ * whose answer was fetched whole are remembered only for repeats. */
+uint32_t GbFlow_OpenRequests(const struct GbFlow *self);
+
 #endif
--- a/src/transport/mails.c
+++ b/src/transport/mails.c
@@ -25,6 +25,7 @@
 const struct GbMailClass GbViewMail_Class = {free_view};
 const struct GbMailClass GbCountersMail_Class = {free_plain};
 const struct GbMailClass GbRevisionMail_Class = {free_plain};
+const struct GbMailClass GbAnsweredByMail_Class = {free_plain};
 const struct GbMailClass GbDrainMail_Class = {free_plain};
 const struct GbMailClass GbStartMail_Class = {free_plain};
 const struct GbMailClass GbCancelMail_Class = {free_plain};
@@ -32,6 +33,7 @@
 const struct GbMailClass GbAnsweredMail_Class = {free_plain};
 const struct GbMailClass GbSentMail_Class = {free_sent};
 const struct GbMailClass GbEndedMail_Class = {free_plain};
+const struct GbMailClass GbPolledMail_Class = {free_plain};
 
 struct GbMail *
 GbViewMail_New(struct GbView *view)
@@ -66,6 +68,16 @@
     return &mail->super;
 }
 
+struct GbMail *
+GbAnsweredByMail_New(uint64_t instance_id)
+{
+    struct GbAnsweredByMail *mail = g_new0(struct GbAnsweredByMail, 1);
+
+    mail->super.klass = &GbAnsweredByMail_Class;
+    mail->instance_id = instance_id;
+    return &mail->super;
+}
+
 struct GbMail *
 GbDrainMail_New(void)
 {
@@ -145,3 +157,14 @@
     mail->end = end;
     return &mail->super;
 }
+
+struct GbMail *
+GbPolledMail_New(enum GbTargetHealth health, uint32_t slots)
+{
+    struct GbPolledMail *mail = g_new0(struct GbPolledMail, 1);
+
+    mail->super.klass = &GbPolledMail_Class;
+    mail->health = health;
+    mail->slots = slots;
+    return &mail->super;
+}
--- a/src/transport/mails.h
+++ b/src/transport/mails.h
@@ -33,6 +33,12 @@
     struct GbRevision revision;
 };
 
+/* From a balancer's data task to the others: an instance has answered. */
+struct GbAnsweredByMail {
+    struct GbMail super;
+    uint64_t instance_id;
+};
+
 /* From control to an agent's data task: the instance is leaving. */
 struct GbDrainMail {
     struct GbMail super;
@@ -77,9 +83,18 @@
     enum GbTargetEnd end;
 };
 
+/* From an agent's target task to its data task: what the target says of
+ * itself. */
+struct GbPolledMail {
+    struct GbMail super;
+    enum GbTargetHealth health;
+    uint32_t slots;
+};
+
 extern const struct GbMailClass GbViewMail_Class;
 extern const struct GbMailClass GbCountersMail_Class;
 extern const struct GbMailClass GbRevisionMail_Class;
+extern const struct GbMailClass GbAnsweredByMail_Class;
 extern const struct GbMailClass GbDrainMail_Class;
 extern const struct GbMailClass GbStartMail_Class;
 extern const struct GbMailClass GbCancelMail_Class;
@@ -87,6 +102,7 @@
 extern const struct GbMailClass GbAnsweredMail_Class;
 extern const struct GbMailClass GbSentMail_Class;
 extern const struct GbMailClass GbEndedMail_Class;
+extern const struct GbMailClass GbPolledMail_Class;
 
 /* Takes its own reference of view. */
 struct GbMail *GbViewMail_New(struct GbView *view);
@@ -94,6 +110,7 @@
                                           const struct GbCounters *counters);
 struct GbMail *GbRevisionMail_New(const struct GbAddress *from,
                                   const struct GbRevision *revision);
+struct GbMail *GbAnsweredByMail_New(uint64_t instance_id);
 struct GbMail *GbDrainMail_New(void);
 struct GbMail *GbStartMail_New(const struct GbTargetCall *call);
 struct GbMail *GbCancelMail_New(uint64_t work_id);
@@ -103,5 +120,6 @@
 struct GbMail *GbSentMail_New(uint64_t work_id, uint8_t *data,
                               uint32_t size_bytes);
 struct GbMail *GbEndedMail_New(uint64_t work_id, enum GbTargetEnd end);
+struct GbMail *GbPolledMail_New(enum GbTargetHealth health, uint32_t slots);
 
 #endif
