Report an idempotent request as not run only after bound refusals

A refusal of an unbound CALL is the word of one agent. The network may have duplicated the CALL, and a duplicate that arrives when another agent is ranked first runs there, although the caller was told "not run" (invariant 4). Such a call now ends as unknown; the result still carries the reason of the last refusal. Non-idempotent requests run only under a token and are not affected.

--- a/src/coordination/call_replies.c
+++ b/src/coordination/call_replies.c
@@ -108,6 +108,11 @@
         call->bound_id = 0;
         GbCall_DropToken(call);
     }
+    else if (call->operation->is_idempotent) {
+        /* The refusal is one agent's: a duplicate of an unbound CALL may have
+         * reached another one, or may yet, and run there. */
+        call->may_have_run = true;
+    }
     if (was_accepted) {
         call->accepted_id = 0;
     }
--- a/src/coordination/caller_port.h
+++ b/src/coordination/caller_port.h
@@ -23,7 +23,8 @@
     uint16_t target_status;
     /* The answer; owned by the caller side until the delivery returns. */
     struct GbBytes answer;
-    /* Reason; set if not run. 0 means that no agent answered. */
+    /* Reason of the last refusal; set if not run, or if unknown after a
+     * refusal. 0 means that no agent answered. */
     enum GbNotRunReason not_run;
     /* Reason; set if unknown. 0 means that no agent answered. */
     enum GbUnknownReason unknown;
