Use the real acceptance of documents in the simulation

How documents reach a process (platform, peers) is still the simulation's, in poll_feed and ask_peers of sim_process.c; coordination/document_sync is not part of it. A restarted process now keeps its faults of the platform and loses what it had accepted.

--- a/tests/support/scenario_verbs.c
+++ b/tests/support/scenario_verbs.c
@@ -473,7 +473,7 @@
 static bool
 expect_process(struct GbScenario *self, struct GbSimProcess *found)
 {
-    const struct GbDocument *in_force = found->feed.in_force;
+    const struct GbDocument *in_force = GbSimFeed_InForce(&found->feed);
 
     if (is_word(self, 2, "revision")) {
         if (in_force == NULL ||
--- a/tests/support/sim_platform.c
+++ b/tests/support/sim_platform.c
@@ -102,17 +102,58 @@
     replace_list(self, copy_list(self->list, name));
 }
 
+static void
+ignore_audit(struct GbAcceptancePort *port, const struct GbAuditRecord *record)
+{
+    (void)port;
+    (void)record;
+}
+
+static const struct GbAcceptancePortClass acceptance_port_class = {
+    .audit = ignore_audit,
+};
+
+void
+GbSimFeed_Open(struct GbSimFeed *self, struct GbClock *clock,
+               struct GbCounters *counters)
+{
+    self->is_open = true;
+    self->port.klass = &acceptance_port_class;
+    GbAcceptance_Init(&self->acceptance, &self->port, clock, counters);
+}
+
+void
+GbSimFeed_Close(struct GbSimFeed *self)
+{
+    if (self->is_open) {
+        self->is_open = false;
+        GbAcceptance_Finish(&self->acceptance);
+        GbInstanceList_Unref(self->list);
+        self->list = NULL;
+    }
+}
+
 void
 GbSimFeed_Finish(struct GbSimFeed *self)
 {
+    GbSimFeed_Close(self);
     GbDocument_Unref(self->stale_document);
     GbInstanceList_Unref(self->lagging_list);
-    GbDocument_Unref(self->accepted);
-    GbDocument_Unref(self->in_force);
-    GbInstanceList_Unref(self->list);
     memset(self, 0, sizeof(*self));
 }
 
+struct GbDocument *
+GbSimFeed_Accepted(const struct GbSimFeed *self)
+{
+    return self->is_open ? GbAcceptance_Highest(&self->acceptance) : NULL;
+}
+
+struct GbDocument *
+GbSimFeed_InForce(const struct GbSimFeed *self)
+{
+    return self->is_open ? self->acceptance.in_force.document : NULL;
+}
+
 void
 GbSimFeed_SetStale(struct GbSimFeed *self,
                    const struct GbSimPlatform *platform, bool is_stale)
@@ -142,40 +183,34 @@
 }
 
 void
-GbSimFeed_Accept(struct GbSimFeed *self, struct GbDocument *document)
+GbSimFeed_Offer(struct GbSimFeed *self, struct GbDocument *document,
+                enum GbDocumentSource source)
 {
-    if (document != NULL && GbDocument_Compare(document, self->accepted) > 0) {
-        GbDocument_Unref(self->accepted);
-        self->accepted = GbDocument_Ref(document);
+    if (self->is_open && document != NULL) {
+        GbAcceptance_Offer(&self->acceptance, document, source);
     }
 }
 
 struct GbView *
-GbSimFeed_Poll(struct GbSimFeed *self, const struct GbSimPlatform *platform,
-               int64_t wall_us)
+GbSimFeed_Poll(struct GbSimFeed *self, const struct GbSimPlatform *platform)
 {
     struct GbInstanceList *list =
         self->is_lagging ? self->lagging_list : platform->list;
     bool is_changed = false;
 
     if (!self->is_down) {
-        GbSimFeed_Accept(self, self->is_stale ? self->stale_document
-                                              : platform->document);
+        GbSimFeed_Offer(
+            self, self->is_stale ? self->stale_document : platform->document,
+            GB_SOURCE_PLATFORM);
         if (self->list == NULL || list->version > self->list->version) {
             GbInstanceList_Unref(self->list);
             self->list = GbInstanceList_Ref(list);
             is_changed = true;
         }
     }
-    if (self->accepted != NULL &&
-        GbDocument_Compare(self->accepted, self->in_force) > 0 &&
-        self->accepted->in_force_from_us <= wall_us) {
-        GbDocument_Unref(self->in_force);
-        self->in_force = GbDocument_Ref(self->accepted);
-        is_changed = true;
-    }
-    if (!is_changed || self->in_force == NULL || self->list == NULL) {
+    is_changed |= GbAcceptance_Tick(&self->acceptance);
+    if (!is_changed || GbSimFeed_InForce(self) == NULL || self->list == NULL) {
         return NULL;
     }
-    return GbView_New(self->in_force, self->list);
+    return GbView_New(GbSimFeed_InForce(self), self->list);
 }
--- a/tests/support/sim_platform.h
+++ b/tests/support/sim_platform.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/acceptance.h"
 #include "state/view.h"
 
 /* Configuration service and instance list, as the platform has them. */
@@ -21,9 +22,10 @@
     bool is_lagging;
     struct GbDocument *stale_document;
     struct GbInstanceList *lagging_list;
-    /* Highest document accepted, which may not be in force yet. */
-    struct GbDocument *accepted;
-    struct GbDocument *in_force;
+    /* Memory of the process, lost when it ends. */
+    bool is_open;
+    struct GbAcceptancePort port;
+    struct GbAcceptance acceptance;
     struct GbInstanceList *list;
 };
 
@@ -54,8 +56,17 @@
 void GbSimPlatform_RemoveInstance(struct GbSimPlatform *self,
                                   const char *name);
 
+/* The process starts or ends. */
+void GbSimFeed_Open(struct GbSimFeed *self, struct GbClock *clock,
+                    struct GbCounters *counters);
+void GbSimFeed_Close(struct GbSimFeed *self);
+
 void GbSimFeed_Finish(struct GbSimFeed *self);
 
+/* Highest accepted document and the one in force; NULL if there is none. */
+struct GbDocument *GbSimFeed_Accepted(const struct GbSimFeed *self);
+struct GbDocument *GbSimFeed_InForce(const struct GbSimFeed *self);
+
 /* Freezes or releases what the feed gives. */
 void GbSimFeed_SetStale(struct GbSimFeed *self,
                         const struct GbSimPlatform *platform, bool is_stale);
@@ -63,14 +74,14 @@
                           const struct GbSimPlatform *platform,
                           bool is_lagging);
 
-/* Takes a document of a peer or of the platform if it is higher. */
-void GbSimFeed_Accept(struct GbSimFeed *self, struct GbDocument *document);
+/* Offers a document of a peer or of the platform to the acceptance. */
+void GbSimFeed_Offer(struct GbSimFeed *self, struct GbDocument *document,
+                     enum GbDocumentSource source);
 
 /* Reads the platform, if it can be reached, and brings an accepted document
  * into force when its time has come. Returns a new view if anything changed,
  * or NULL. */
 struct GbView *GbSimFeed_Poll(struct GbSimFeed *self,
-                              const struct GbSimPlatform *platform,
-                              int64_t wall_us);
+                              const struct GbSimPlatform *platform);
 
 #endif
--- a/tests/support/sim_process.c
+++ b/tests/support/sim_process.c
@@ -296,13 +296,15 @@
     struct GbSimulation *simulation = self->simulation;
     struct GbSimProcess *peer =
         (struct GbSimProcess *)GbSimNetwork_Find(&simulation->network, from);
-    struct GbRevision own = GbDocument_Revision(self->feed.accepted);
+    struct GbRevision own =
+        GbDocument_Revision(GbSimFeed_Accepted(&self->feed));
 
     if (GbRevision_Compare(revision, &own) > 0 && peer != NULL &&
         peer->state == GB_SIM_RUNNING &&
         !GbSimNetwork_IsCut(&simulation->network, self->node.name,
                             peer->node.name)) {
-        GbSimFeed_Accept(&self->feed, peer->feed.accepted);
+        GbSimFeed_Offer(&self->feed, GbSimFeed_Accepted(&peer->feed),
+                        GB_SOURCE_PEER);
         self->poll_us = simulation->now_us;
     }
 }
@@ -418,14 +420,13 @@
 poll_feed(struct GbSimProcess *self)
 {
     struct GbSimulation *simulation = self->simulation;
-    struct GbDocument *before = self->feed.in_force;
+    struct GbDocument *before = GbSimFeed_InForce(&self->feed);
     struct GbView *view;
 
     if (before != NULL) {
         GbDocument_Ref(before);
     }
-    view = GbSimFeed_Poll(&self->feed, &simulation->platform,
-                          GbClock_WallUs(&self->clock.super));
+    view = GbSimFeed_Poll(&self->feed, &simulation->platform);
     if (view != NULL && GbDocument_Compare(view->document, before) < 0) {
         GbSimulation_Violate(simulation, "%s went back to revision %u",
                              self->node.name,
@@ -473,7 +474,8 @@
                                 peer->node.name) &&
             !GbSimNetwork_IsCut(&simulation->network, peer->node.name,
                                 self->node.name)) {
-            GbSimFeed_Accept(&self->feed, peer->feed.accepted);
+            GbSimFeed_Offer(&self->feed, GbSimFeed_Accepted(&peer->feed),
+                            GB_SOURCE_PEER);
             asked++;
         }
     }
@@ -597,6 +599,7 @@
 GbSimProcess_Free(struct GbSimProcess *self)
 {
     GbSimProcess_Kill(self);
+    GbSimFeed_Finish(&self->feed);
     if (self->role == GB_SIM_AGENT) {
         GbSimTarget_Finish(&self->agent.target);
     }
@@ -617,6 +620,7 @@
     self->has_core = true;
     GbCounters_Init(&self->counters);
     set_clock(self);
+    GbSimFeed_Open(&self->feed, &self->clock.super, &self->counters);
     switch (self->role) {
     case GB_SIM_BALANCER:
         start_balancer(self);
@@ -645,7 +649,7 @@
     self->state = GB_SIM_STOPPED;
     clear(&self->inbox);
     clear(&self->outbox);
-    GbSimFeed_Finish(&self->feed);
+    GbSimFeed_Close(&self->feed);
     if (self->role == GB_SIM_AGENT) {
         GbSimTarget_DropAll(&self->agent.target, false);
     }
