Refuse ranges and replies that contradict a call

- UNKNOWN for a later submission ended or moved a call whose answer was already coming from another agent; it now only ends that submission.
- An unbound non-idempotent request that an agent took, because its document says that the operation is idempotent, was reported as not run at the deadline; it is now unknown.
- An empty range before the end counted as progress and was asked for again without pause; a second total, or one above the limit, was accepted.

Two rows of tests/test_call and three of tests/test_fetch_window failed before and pass now.

--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -264,9 +264,9 @@
 void
 GbCall_GiveUp(struct GbCall *self, enum GbNotRunReason reason)
 {
-    bool may_have_run = self->operation->is_idempotent
-                            ? self->may_have_run || self->submission_count > 0
-                            : self->bound_id != 0;
+    bool may_have_run = self->may_have_run || (self->operation->is_idempotent
+                                                   ? self->submission_count > 0
+                                                   : self->bound_id != 0);
     struct GbResult result = {.outcome = may_have_run ? GB_OUTCOME_UNKNOWN
                                                       : GB_OUTCOME_NOT_RUN};
 
--- a/src/coordination/call_replies.c
+++ b/src/coordination/call_replies.c
@@ -48,6 +48,9 @@
         return false;
     }
     call->accepted_id = message->request_id;
+    /* Also without a token, if the agent's document says that the operation is
+     * idempotent. */
+    call->may_have_run |= call->bound_id != message->request_id;
     call->state = GB_CALL_ACCEPTED;
     call->repeat_us =
         GbClock_MonotonicUs(call->caller->clock) + GbCall_BackoffUs(call, 1);
@@ -129,6 +132,12 @@
         GbCall_LatestId(call) != message->request_id) {
         return;
     }
+    if (call->accepted_id != 0 && call->accepted_id != message->request_id) {
+        /* The answer is coming from another agent. */
+        GbCall_Forget(call, message->request_id);
+        call->may_have_run = true;
+        return;
+    }
     if (message->unknown == GB_UNKNOWN_NO_RECORD) {
         GbCall_DropToken(call);
     }
--- a/src/coordination/fetch_window.c
+++ b/src/coordination/fetch_window.c
@@ -38,6 +38,22 @@
     self->next_offset = MIN(self->next_offset, self->total);
 }
 
+/* Whether the fields of a range agree with each other and with the ranges
+ * before it. */
+static bool
+is_consistent(const struct GbFetchWindow *self,
+              const struct GbDataFields *data)
+{
+    uint64_t end = data->offset + data->bytes.size_bytes;
+
+    if (data->total == GB_TOTAL_UNKNOWN) {
+        return data->bytes.size_bytes > 0 && end <= self->max_bytes;
+    }
+    return data->total <= self->max_bytes && end <= data->total &&
+           (data->bytes.size_bytes > 0 || end == data->total) &&
+           (self->total == GB_TOTAL_UNKNOWN || self->total == data->total);
+}
+
 static void
 store(struct GbFetchWindow *self, uint64_t offset, struct GbBytes bytes)
 {
@@ -79,10 +95,10 @@
     uint64_t end = data->offset + data->bytes.size_bytes;
 
     if (fetch == NULL || data->bytes.size_bytes > fetch->length_bytes ||
-        end > self->max_bytes || end > data->total) {
+        !is_consistent(self, data)) {
         return false;
     }
-    if (data->total != GB_TOTAL_UNKNOWN && data->total <= self->max_bytes) {
+    if (data->total != GB_TOTAL_UNKNOWN) {
         self->total = data->total;
         self->digest = data->digest;
     }
