--- a/tests/support/matrix.h
+++ b/tests/support/matrix.h
@@ -11,6 +11,9 @@
     bool is_queued;
     /* The session has been used before, so that the call is bound. */
     bool is_bound;
+    /* The queues are full, so that the call is refused if it comes before
+     * they have room. */
+    bool is_refused;
 };
 
 /* Process that a fault strikes. */
@@ -45,6 +48,8 @@
 
 /* Step of a run without faults. */
 struct GbMatrixStep {
+    /* Among all steps of the run. */
+    uint32_t index;
     enum GbSimStep step;
     char process[GB_SIM_NAME_BYTES];
     /* Names of the subjects at this step; empty where it is the same as an
@@ -66,7 +71,8 @@
 };
 
 /* Runs the call without faults and returns its steps, an array of struct
- * GbMatrixStep. */
+ * GbMatrixStep: those at datagrams of its flow, and those between agents and
+ * targets. */
 GArray *GbMatrix_Record(const struct GbMatrixCall *call, uint64_t seed);
 
 /* Runs one cell. Returns NULL if it passed, otherwise what was wrong, with
--- a/tests/support/sim_network.c
+++ b/tests/support/sim_network.c
@@ -235,6 +235,14 @@
     deliver_after(self, &from->address, to, datagram, delay_us);
 }
 
+uint64_t
+GbSimNetwork_FlowOf(const struct GbSimNetwork *self, struct GbBytes datagram)
+{
+    struct GbMessage message;
+
+    return decode(self, datagram, &message) ? message.flow_id : 0;
+}
+
 void
 GbSimNetwork_Describe(const struct GbSimNetwork *self, struct GbBytes datagram,
                       GString *line)
--- a/tests/support/sim_network.h
+++ b/tests/support/sim_network.h
@@ -95,6 +95,10 @@
                        const struct GbAddress *to, struct GbBytes header,
                        struct GbBytes body);
 
+/* Flow that a datagram is about; 0 if about none. */
+uint64_t GbSimNetwork_FlowOf(const struct GbSimNetwork *self,
+                             struct GbBytes datagram);
+
 /* Writes one line about a datagram: kind, flow, request. */
 void GbSimNetwork_Describe(const struct GbSimNetwork *self,
                            struct GbBytes datagram, GString *line);
--- a/tests/support/sim_platform.h
+++ b/tests/support/sim_platform.h
@@ -36,6 +36,8 @@
     uint32_t variant;
     /* Slots of each target; 0 leaves them. */
     uint32_t slots;
+    /* Queue of each service; 0 leaves it. */
+    uint32_t queue;
     int64_t in_force_from_us;
 };
 
