Measure forwarding against a bare relay

CALLs carry at most 900 bytes of body, so only answers reach 1,200 bytes.

The fuzz target is compiled with the tests so that clang-tidy checks it.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZ_SECONDS ?= 20
 
 .PHONY: all deps build build-sanitize test format format-check lint layers \
-	fuzz clean
+	bench fuzz clean
 
 all: build
 
@@ -36,6 +36,10 @@
 layers:
 	tools/check-layers.sh
 
+bench: build
+	$(BUILD)/bench_forward
+	$(BUILD)/bench_memory
+
 # Random datagrams under libFuzzer and the sanitizers. Not part of CI.
 fuzz: deps
 	mkdir -p $(BUILD)-fuzz
--- a/tests/fuzz/fuzz_datagram.c
+++ b/tests/fuzz/fuzz_datagram.c
@@ -4,9 +4,12 @@
 
 #include "support/hostile.h"
 
+/* The name is that of libFuzzer. */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes);
 
 int
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes)
 {
     static struct WireFixture fixture;
--- /dev/null
+++ b/tests/support/load_datagrams.c
@@ -0,0 +1,78 @@
+#include "support/load_datagrams.h"
+
+#include <string.h>
+
+#include "protocol/codec.h"
+#include "protocol/envelope.h"
+#include "support/sample_messages.h"
+
+const char *const load_kind_names[LOAD_KIND_END] = {
+    "bound FETCH",   "bound CALL, 900-byte body",
+    "unbound CALL",  "unbound CALL, 900-byte body",
+    "answer, small", "answer, 1,200 bytes",
+};
+
+static uint32_t
+encode_call(enum LoadKind kind, const struct GbKeys *keys,
+            const struct GbAddress *agent, uint64_t flow_id, uint8_t *buffer)
+{
+    static const uint8_t body[GB_CALL_BODY_BYTES];
+    struct GbMessage message;
+
+    sample_message(&message,
+                   kind == LOAD_BOUND ? GB_MESSAGE_FETCH : GB_MESSAGE_CALL,
+                   kind <= LOAD_BOUND_LARGE);
+    message.service_id = 1;
+    message.flow_id = flow_id;
+    message.attempt = 0;
+    message.token.service_id = 1;
+    message.token.flow_id = flow_id;
+    message.token.agent = *agent;
+    if (message.kind == GB_MESSAGE_CALL) {
+        message.call.body.data = body;
+        message.call.body.size_bytes =
+            kind == LOAD_UNBOUND ? 0 : GB_CALL_BODY_BYTES;
+    }
+    return GbCodec_Encode(&message, keys, buffer, LOAD_DATAGRAM_BYTES);
+}
+
+static uint32_t
+encode_answer(enum LoadKind kind, const struct GbKeys *keys,
+              const struct GbAddress *caller, uint64_t flow_id,
+              uint8_t *buffer)
+{
+    uint8_t inner[GB_DATAGRAM_BYTES] = {0};
+    struct GbEnvelope envelope = {.kind = GB_ENVELOPE_TO_BALANCER};
+    struct GbMessage message;
+    uint32_t header_bytes;
+
+    sample_message(&message, GB_MESSAGE_ACCEPTED, true);
+    message.flow_id = flow_id;
+    envelope.path.caller = *caller;
+    envelope.path.tag = GbKeys_PathTag(keys, caller);
+    envelope.instance_id = SAMPLE_INSTANCE_ID;
+    envelope.inner.data = inner;
+    envelope.inner.size_bytes =
+        GbCodec_Encode(&message, keys, inner, sizeof(inner));
+    if (kind == LOAD_ANSWER_LARGE) {
+        envelope.inner.size_bytes = GB_DATAGRAM_BYTES;
+    }
+    header_bytes = GbEnvelope_EncodeHeader(&envelope, buffer);
+    memcpy(buffer + header_bytes, inner, envelope.inner.size_bytes);
+    return header_bytes + envelope.inner.size_bytes;
+}
+
+void
+load_datagrams_fill(struct LoadDatagrams *self, enum LoadKind kind,
+                    const struct GbKeys *keys, const struct GbAddress *peer,
+                    uint64_t first_flow)
+{
+    for (uint32_t i = 0; i < LOAD_DATAGRAMS; i++) {
+        uint8_t *buffer = self->data[i];
+
+        self->size_bytes[i] =
+            kind < LOAD_ANSWER
+                ? encode_call(kind, keys, peer, first_flow + i, buffer)
+                : encode_answer(kind, keys, peer, first_flow + i, buffer);
+    }
+}
