Measure memory against flows seen and flows held

make bench runs it after the forwarding figures. An agent holds at most 16,384 request records, so that 100,000 records cannot be measured.

--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,11 @@
 layers:
 	tools/check-layers.sh
 
+# Without the cache of each thread, glibc counts freed memory as free.
 bench: build
 	$(BUILD)/bench_forward
-	$(BUILD)/bench_memory
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
 
 # Random datagrams under libFuzzer and the sanitizers. Not part of CI.
 fuzz: deps
--- /dev/null
+++ b/tests/bench/bench_memory.c
@@ -0,0 +1,181 @@
+/* Memory of a balancer against flows seen, and of an agent against flows and
+ * request records. */
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support/agent_load.h"
+#include "support/fleet.h"
+#include "support/load_datagrams.h"
+#include "support/loopback.h"
+#include "support/memory.h"
+#include "support/sample_messages.h"
+#include "transport/balancer_task.h"
+#include "transport/mails.h"
+
+#define FLOWS 300000
+#define POOL_INSTANCES 9
+#define CONTROL_LIMIT 1
+/* Datagrams in flight; fewer than the smallest socket buffer holds. */
+#define WINDOW 64
+#define WAIT_US 50
+#define WAITS_MAX 100000
+#define ANSWER_BYTES 100
+
+static const struct GbTaskClass control_class = {.name = "control"};
+
+static void
+wait_for(struct LoadSink *sink, uint64_t count)
+{
+    for (int i = 0; atomic_load(&sink->received) < count; i++) {
+        g_assert_cmpint(i, <, WAITS_MAX);
+        g_usleep(WAIT_US);
+    }
+}
+
+/* Sends one unbound CALL and one bound FETCH of each flow and waits until all
+ * are forwarded. */
+static void
+pass_flows(struct LoadSink *sink, const struct GbAddress *balancer,
+           const struct GbKeys *keys, uint64_t first, uint64_t count)
+{
+    static struct LoadDatagrams datagrams;
+    static const enum LoadKind kinds[] = {LOAD_UNBOUND, LOAD_BOUND};
+    struct GbAddress agent = loopback_address(sink->fd);
+    uint64_t forwarded = atomic_load(&sink->received);
+    int fd = loopback_socket();
+
+    for (uint64_t done = 0; done < count; done += LOAD_DATAGRAMS) {
+        for (size_t kind = 0; kind < G_N_ELEMENTS(kinds); kind++) {
+            load_datagrams_fill(&datagrams, kinds[kind], keys, &agent,
+                                first + done);
+            for (uint32_t i = 0; i < MIN(LOAD_DATAGRAMS, count - done); i++) {
+                if (forwarded >= WINDOW) {
+                    wait_for(sink, forwarded - WINDOW + 1);
+                }
+                loopback_send(fd, balancer, datagrams.data[i],
+                              datagrams.size_bytes[i]);
+                forwarded++;
+            }
+        }
+    }
+    wait_for(sink, forwarded);
+    close(fd);
+}
+
+/* Returns whether the heap is the same with all flows as with none. */
+static bool
+measure_balancer(void)
+{
+    struct GbBalancerTaskConfig config = {.listen = {LOOPBACK_IPV4, 0}};
+    struct GbBalancerTask *task = g_new0(struct GbBalancerTask, 1);
+    struct LoadSink *sink = g_new0(struct LoadSink, 1);
+    struct Fleet fleet = {1, POOL_INSTANCES, 0};
+    struct GbSystemClock clock;
+    struct GbLastMessage last;
+    struct GbTask control;
+    struct GbAddress address;
+    struct GbKeys keys;
+    struct GbView *view;
+    int64_t heap_bytes;
+    int64_t resident_bytes;
+    int64_t heap_growth_bytes;
+
+    GbSystemClock_Init(&clock);
+    sample_keys(&keys);
+    GbTask_Init(&control, &control_class, &clock.super, CONTROL_LIMIT);
+    load_sink_start(sink);
+    fleet.port = loopback_address(sink->fd).port;
+    view = fleet_view(&fleet);
+    config.keys = &keys;
+    config.control = &control;
+    GbBalancerTask_Init(task, &config, &clock.super);
+    g_assert_cmpint(GbTask_Open(&task->super, &last), ==, GB_TRANSPORT_OK);
+    GbTask_Post(&task->super, GbViewMail_New(view));
+    g_assert_cmpint(GbTask_Start(&task->super, &last), ==, GB_TRANSPORT_OK);
+    address = GbUdp_Address(&task->udp);
+    /* A few flows first: one entry an instance and the mailbox's room. */
+    pass_flows(sink, &address, &keys, 1, LOAD_DATAGRAMS);
+    while (g_async_queue_length(control.mailbox) < CONTROL_LIMIT) {
+        g_usleep(100000);
+    }
+    /* First, because its first call leaves a stdio buffer on the heap. */
+    resident_bytes = memory_resident_bytes();
+    heap_bytes = memory_heap_bytes();
+    pass_flows(sink, &address, &keys, 1 + LOAD_DATAGRAMS, FLOWS);
+    heap_growth_bytes = memory_heap_bytes() - heap_bytes;
+    printf("balancer: heap %" PRIi64 " bytes with no flow, %+" PRIi64
+           " with %d flows; resident %" PRIi64 " kB, %+" PRIi64 " kB\n",
+           heap_bytes, heap_growth_bytes, FLOWS, resident_bytes / 1024,
+           (memory_resident_bytes() - resident_bytes) / 1024);
+    GbTask_Stop(&task->super);
+    printf("balancer: %" PRIu64 " datagrams forwarded, %" PRIu64 " refused\n",
+           task->counters.values[GB_COUNTER_DATAGRAMS_SENT],
+           task->counters.values[GB_COUNTER_DATAGRAMS_RECEIVED] -
+               task->counters.values[GB_COUNTER_DATAGRAMS_SENT]);
+    load_sink_stop(sink);
+    GbTask_Stop(&control);
+    GbView_Unref(view);
+    g_free(task);
+    g_free(sink);
+    return heap_growth_bytes == 0;
+}
+
+static void
+measure_flows(uint32_t count)
+{
+    struct GbFlowTable flows;
+    int64_t heap_bytes = memory_heap_bytes();
+
+    GbFlowTable_Init(&flows, count);
+    for (uint64_t id = 1; id <= count; id++) {
+        GbFlowTable_Add(&flows, id * UINT64_C(0x9e3779b97f4a7c15), 0, 0);
+    }
+    printf("agent: %u flows, %.0f bytes each\n", count,
+           (double)(memory_heap_bytes() - heap_bytes) / count);
+    GbFlowTable_Finish(&flows);
+}
+
+/* Finished requests whose answers the caller has not acknowledged, one a
+ * flow, up to the agent's limit on records. */
+static void
+measure_requests(uint32_t count)
+{
+    struct AgentLoad *load = g_new0(struct AgentLoad, 1);
+    int64_t heap_bytes;
+    int64_t flow_bytes;
+
+    agent_load_init(load, POOL_INSTANCES);
+    heap_bytes = memory_heap_bytes();
+    for (uint32_t i = 1; i <= count; i++) {
+        agent_load_call(load, i, ANSWER_BYTES);
+    }
+    flow_bytes = (memory_heap_bytes() - heap_bytes) / count;
+    printf("agent: %u flows with a finished request each, answer of %d bytes, "
+           "%" PRIi64 " bytes a flow and its record (sizeof struct "
+           "GbRequest %zu)\n",
+           count, ANSWER_BYTES, flow_bytes, sizeof(struct GbRequest));
+    agent_load_finish(load);
+    g_free(load);
+}
+
+int
+main(void)
+{
+    static const uint32_t flow_counts[] = {2000, 100000};
+    /* An agent holds at most 16,384 request records. */
+    static const uint32_t request_counts[] = {2000, 16384};
+    bool is_flat = measure_balancer();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(flow_counts); i++) {
+        measure_flows(flow_counts[i]);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(request_counts); i++) {
+        measure_requests(request_counts[i]);
+    }
+    return is_flat ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/support/memory.h
@@ -0,0 +1,12 @@
+#ifndef GB_TESTS_SUPPORT_MEMORY_H
+#define GB_TESTS_SUPPORT_MEMORY_H
+
+#include <stdint.h>
+
+/* Heap that is in use, over all arenas. */
+int64_t memory_heap_bytes(void);
+
+/* Resident set of the process. */
+int64_t memory_resident_bytes(void);
+
+#endif
