--- /dev/null
+++ b/tests/bench/bench_capacity_balancer.c
@@ -0,0 +1,262 @@
+/* Cost of a balancer against number of services, instances and size of the
+ * document. Sizes go up to those of section 1.5 of the design page. */
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "bench/slope.h"
+#include "coordination/balancer.h"
+#include "protocol/document_json.h"
+#include "support/documents.h"
+#include "support/fleet.h"
+#include "support/load.h"
+#include "support/memory.h"
+
+#define SERVICES 980
+#define INSTANCES 9230
+#define RUNS 5
+#define ROUTES 20000
+
+static const uint32_t instance_counts[] = {1154, 2308, 4615, 9230};
+static const uint32_t service_counts[] = {122, 245, 490, 980};
+static const uint32_t pool_sizes[] = {4, 9, 32, 64, 128};
+
+/* Least of several runs: the others were disturbed. */
+static double
+least(double a, double b)
+{
+    return a < b ? a : b;
+}
+
+static void
+measure_view(struct Slope *time, struct Slope *memory, uint32_t services,
+             uint32_t instances, double size)
+{
+    struct Fleet fleet = {services, instances, 0};
+    struct GbDocument *document = fleet_document(&fleet);
+    struct GbInstanceList *list = fleet_list(&fleet);
+    double best_ns = G_MAXDOUBLE;
+    int64_t heap_bytes = 0;
+
+    for (int run = 0; run < RUNS; run++) {
+        int64_t before_bytes = memory_heap_bytes();
+        int64_t start_ns = load_now_ns();
+        struct GbView *view = GbView_New(document, list);
+
+        best_ns = least(best_ns, (double)(load_now_ns() - start_ns));
+        heap_bytes = memory_heap_bytes() - before_bytes;
+        GbView_Unref(view);
+    }
+    slope_add(time, size, best_ns / 1000);
+    slope_add(memory, size, (double)heap_bytes);
+    GbDocument_Unref(document);
+    GbInstanceList_Unref(list);
+}
+
+static void
+measure_views(void)
+{
+    struct Slope by_instances;
+    struct Slope by_services;
+    struct Slope memory;
+    struct Slope ignored;
+
+    slope_init(&by_instances, "build of a view, 980 services",
+               "us an instance");
+    slope_init(&memory, "memory of a view without list", "bytes an instance");
+    for (size_t i = 0; i < G_N_ELEMENTS(instance_counts); i++) {
+        measure_view(&by_instances, &memory, SERVICES, instance_counts[i],
+                     instance_counts[i]);
+    }
+    slope_init(&by_services, "build of a view, 9,230 instances",
+               "us a service");
+    slope_init(&ignored, "", "");
+    for (size_t i = 0; i < G_N_ELEMENTS(service_counts); i++) {
+        measure_view(&by_services, &ignored, service_counts[i], INSTANCES,
+                     service_counts[i]);
+    }
+    slope_print(&by_instances);
+    slope_print(&by_services);
+    slope_print(&memory);
+}
+
+static void
+measure_documents(void)
+{
+    struct Slope size;
+    struct Slope time;
+    struct Slope memory;
+
+    slope_init(&size, "size of a document", "bytes a service");
+    slope_init(&time, "check and acceptance of a document", "us a service");
+    slope_init(&memory, "memory of a document with its bytes",
+               "bytes a service");
+    for (size_t i = 0; i < G_N_ELEMENTS(service_counts); i++) {
+        GString *text = documents_environment(1, service_counts[i]);
+        double best_ns = G_MAXDOUBLE;
+        int64_t heap_bytes = 0;
+
+        for (int run = 0; run < RUNS; run++) {
+            int64_t before_bytes = memory_heap_bytes();
+            int64_t start_ns = load_now_ns();
+            struct GbDocument *document;
+
+            g_assert_cmpint(GbDocumentJson_Parse(&document,
+                                                 (const uint8_t *)text->str,
+                                                 text->len, NULL),
+                            ==, GB_PROTOCOL_OK);
+            best_ns = least(best_ns, (double)(load_now_ns() - start_ns));
+            heap_bytes = memory_heap_bytes() - before_bytes;
+            GbDocument_Unref(document);
+        }
+        slope_add(&size, service_counts[i], (double)text->len);
+        slope_add(&time, service_counts[i], best_ns / 1000);
+        slope_add(&memory, service_counts[i], (double)heap_bytes);
+        g_string_free(text, TRUE);
+    }
+    slope_print(&size);
+    slope_print(&time);
+    slope_print(&memory);
+}
+
+static void
+measure_lists(void)
+{
+    struct Slope size;
+    struct Slope time;
+    struct Slope memory;
+
+    slope_init(&size, "size of an instance list", "bytes an instance");
+    slope_init(&time, "parse of an instance list", "us an instance");
+    slope_init(&memory, "memory of an instance list", "bytes an instance");
+    for (size_t i = 0; i < G_N_ELEMENTS(instance_counts); i++) {
+        GString *text = documents_instances(1, SERVICES, instance_counts[i]);
+        double best_ns = G_MAXDOUBLE;
+        int64_t heap_bytes = 0;
+
+        for (int run = 0; run < RUNS; run++) {
+            int64_t before_bytes = memory_heap_bytes();
+            int64_t start_ns = load_now_ns();
+            struct GbInstanceList *list;
+
+            g_assert_cmpint(
+                GbDocumentJson_ParseInstances(
+                    &list, (const uint8_t *)text->str, text->len, NULL),
+                ==, GB_PROTOCOL_OK);
+            g_assert_cmpuint(list->count, ==, instance_counts[i]);
+            best_ns = least(best_ns, (double)(load_now_ns() - start_ns));
+            heap_bytes = memory_heap_bytes() - before_bytes;
+            GbInstanceList_Unref(list);
+        }
+        slope_add(&size, instance_counts[i], (double)text->len);
+        slope_add(&time, instance_counts[i], best_ns / 1000);
+        slope_add(&memory, instance_counts[i], (double)heap_bytes);
+        g_string_free(text, TRUE);
+    }
+    slope_print(&size);
+    slope_print(&time);
+    slope_print(&memory);
+}
+
+static double
+route_ns(struct GbBalancer *balancer, uint8_t attempt)
+{
+    double best_ns = G_MAXDOUBLE;
+
+    for (int run = 0; run < RUNS; run++) {
+        int64_t start_ns = load_now_ns();
+
+        for (uint64_t flow = 1; flow <= ROUTES; flow++) {
+            struct GbMessage message = {.kind = GB_MESSAGE_CALL,
+                                        .service_id = 1,
+                                        .flow_id = flow,
+                                        .attempt = attempt};
+            struct GbAddress agent;
+
+            GbBalancer_Route(balancer, &message, &agent);
+        }
+        best_ns = least(best_ns, (double)(load_now_ns() - start_ns));
+    }
+    return best_ns / ROUTES;
+}
+
+static void
+measure_ranking(void)
+{
+    struct Slope first;
+    struct Slope second;
+    struct Slope mixed;
+
+    slope_init(&first, "route of an unbound CALL, rank 0", "ns an instance");
+    slope_init(&second, "route of an unbound CALL, rank 1", "ns an instance");
+    slope_init(&mixed, "the same, rank 0, all weights different",
+               "ns an instance");
+    for (size_t i = 0; i < G_N_ELEMENTS(pool_sizes); i++) {
+        struct Fleet fleet = {1, pool_sizes[i], 0};
+        struct GbSystemClock clock;
+        struct GbCounters counters = {{0}};
+        struct GbBalancer balancer;
+
+        GbSystemClock_Init(&clock);
+        GbBalancer_Init(&balancer, &clock.super, &counters);
+        GbBalancer_SetView(&balancer, fleet_view(&fleet));
+        slope_add(&first, pool_sizes[i], route_ns(&balancer, 0));
+        slope_add(&second, pool_sizes[i], route_ns(&balancer, 1));
+        for (uint32_t j = 0; j < pool_sizes[i]; j++) {
+            balancer.view->list->instances[j].weight = j + 1;
+        }
+        slope_add(&mixed, pool_sizes[i], route_ns(&balancer, 0));
+        GbBalancer_Finish(&balancer);
+    }
+    slope_print(&first);
+    slope_print(&second);
+    slope_print(&mixed);
+}
+
+static void
+measure_suspicion(void)
+{
+    struct Slope memory;
+    struct Slope time;
+
+    slope_init(&memory, "memory of suspicion, a data task",
+               "bytes an instance");
+    slope_init(&time, "suspicion given a new list", "us an instance");
+    for (size_t i = 0; i < G_N_ELEMENTS(instance_counts); i++) {
+        struct Fleet fleet = {SERVICES, instance_counts[i], 0};
+        struct GbInstanceList *list = fleet_list(&fleet);
+        int64_t before_bytes = memory_heap_bytes();
+        double best_ns = G_MAXDOUBLE;
+        struct GbSuspicion suspicion;
+
+        GbSuspicion_Init(&suspicion);
+        for (uint32_t j = 0; j < list->count; j++) {
+            GbSuspicion_Sent(&suspicion, list->instances[j].id, 0);
+        }
+        slope_add(&memory, instance_counts[i],
+                  (double)(memory_heap_bytes() - before_bytes));
+        for (int run = 0; run < RUNS; run++) {
+            int64_t start_ns = load_now_ns();
+
+            GbSuspicion_KeepListed(&suspicion, list);
+            best_ns = least(best_ns, (double)(load_now_ns() - start_ns));
+        }
+        slope_add(&time, instance_counts[i], best_ns / 1000);
+        GbSuspicion_Finish(&suspicion);
+        GbInstanceList_Unref(list);
+    }
+    slope_print(&memory);
+    slope_print(&time);
+}
+
+int
+main(void)
+{
+    slope_print_head("Balancer (parsing and views apply to agents as well)");
+    measure_documents();
+    measure_lists();
+    measure_views();
+    measure_ranking();
+    measure_suspicion();
+    return 0;
+}
