--- /dev/null
+++ b/tests/test_address.c
@@ -0,0 +1,66 @@
+#include "state/address.h"
+
+#include <glib.h>
+
+struct ParseCase {
+    const char *text;
+    bool is_valid;
+    uint32_t ipv4;
+    uint16_t port;
+};
+
+static const struct ParseCase parse_cases[] = {
+    {"127.0.0.1:0", true, 0x7f000001, 0},
+    {"0.0.0.0:1", true, 0, 1},
+    {"255.255.255.255:65535", true, 0xffffffff, 65535},
+    {"10.1.2.3:9000", true, 0x0a010203, 9000},
+    {"", false, 0, 0},
+    {":", false, 0, 0},
+    {"10.1.2.3", false, 0, 0},
+    {"10.1.2.3:", false, 0, 0},
+    {":9000", false, 0, 0},
+    {"10.1.2.3:65536", false, 0, 0},
+    {"10.1.2.3:99999999999999999999", false, 0, 0},
+    {"10.1.2.3:-1", false, 0, 0},
+    {"10.1.2.3:+1", false, 0, 0},
+    {"10.1.2.3: 1", false, 0, 0},
+    {"10.1.2.3:1 ", false, 0, 0},
+    {"10.1.2.3:1:2", false, 0, 0},
+    {"10.1.2:9000", false, 0, 0},
+    {"10.1.2.256:9000", false, 0, 0},
+    {" 10.1.2.3:9000", false, 0, 0},
+    {"localhost:9000", false, 0, 0},
+    {"[::1]:9000", false, 0, 0},
+    {"10.1.2.3.4.5.6.7.8.9.10.11.12:9000", false, 0, 0},
+};
+
+/* Guards against a mistyped address that is taken in part, and against one
+ * that changes when it is written and read again. */
+static void
+test_parse(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(parse_cases); i++) {
+        const struct ParseCase *row = &parse_cases[i];
+        static const struct GbAddress untouched = {1, 2};
+        struct GbAddress address = untouched;
+        char text[GB_ADDRESS_TEXT_BYTES];
+
+        g_test_message("\"%s\"", row->text);
+        g_assert_true(GbAddress_Parse(&address, row->text) == row->is_valid);
+        if (!row->is_valid) {
+            g_assert_true(GbAddress_Equal(&address, &untouched));
+            continue;
+        }
+        g_assert_cmphex(address.ipv4, ==, row->ipv4);
+        g_assert_cmpuint(address.port, ==, row->port);
+        g_assert_cmpstr(GbAddress_Format(&address, text), ==, row->text);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/address/parse", test_parse);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_udp.c
@@ -0,0 +1,229 @@
+#include "transport/udp.h"
+
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support/loopback.h"
+
+#define DATAGRAM_MAX 4096
+
+/* Counts and keeps what arrives. */
+struct KeepingListener {
+    struct GbUdpListener super;
+    uint32_t count;
+    size_t last_bytes;
+    uint8_t first_byte;
+};
+
+static void
+keep(struct GbUdpListener *listener, const struct GbAddress *from,
+     const uint8_t *data, size_t size_bytes)
+{
+    struct KeepingListener *self = (struct KeepingListener *)listener;
+
+    (void)from;
+    self->count++;
+    self->last_bytes = size_bytes;
+    self->first_byte = size_bytes > 0 ? data[0] : 0;
+}
+
+struct UdpFixture {
+    struct event_base *base;
+    struct GbCounters counters;
+    struct KeepingListener listener;
+    struct GbUdp udp;
+    struct GbAddress address;
+};
+
+static struct UdpFixture *
+fixture_new(void)
+{
+    static const struct GbAddress any_port = {LOOPBACK_IPV4, 0};
+    struct UdpFixture *self = g_new0(struct UdpFixture, 1);
+    struct GbLastMessage last;
+
+    self->base = event_base_new();
+    self->listener.super.received = keep;
+    g_assert_cmpint(GbUdp_Open(&self->udp, &any_port, false, self->base,
+                               &self->listener.super, &self->counters, &last),
+                    ==, GB_TRANSPORT_OK);
+    self->address = GbUdp_Address(&self->udp);
+    return self;
+}
+
+static void
+fixture_free(struct UdpFixture *self)
+{
+    GbUdp_Close(&self->udp);
+    event_base_free(self->base);
+    g_free(self);
+}
+
+struct SendCase {
+    const char *name;
+    uint32_t header_bytes;
+    uint32_t body_bytes;
+    uint32_t count;
+    bool is_sent;
+};
+
+static const struct SendCase send_cases[] = {
+    {"body only", 0, 100, 1, true},
+    {"header only", 42, 0, 1, true},
+    {"header and body", 42, 1200, 1, true},
+    {"exactly one batch", 10, 10, GB_UDP_BATCH, true},
+    {"more than one batch", 10, 10, GB_UDP_BATCH + 1, true},
+    {"several batches", 10, 10, 3 * GB_UDP_BATCH, true},
+    {"largest", 48, GB_UDP_BUFFER_BYTES - 48, 1, true},
+    {"too large", 48, GB_UDP_BUFFER_BYTES - 47, 1, false},
+    {"empty", 0, 0, 1, false},
+};
+
+/* Guards against datagrams that are lost or mixed up between batches, and
+ * against a datagram that is dropped without being counted. */
+static void
+test_send(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(send_cases); i++) {
+        const struct SendCase *row = &send_cases[i];
+        struct UdpFixture *fixture = fixture_new();
+        uint8_t header[GB_UDP_BUFFER_BYTES];
+        uint8_t body[GB_UDP_BUFFER_BYTES];
+        uint8_t data[DATAGRAM_MAX];
+        int fd = loopback_socket();
+        struct GbAddress to = loopback_address(fd);
+
+        g_test_message("%s", row->name);
+        for (uint32_t j = 0; j < row->count; j++) {
+            struct GbBytes header_bytes = {header, row->header_bytes};
+            struct GbBytes body_bytes = {body, row->body_bytes};
+
+            memset(header, (int)j, sizeof(header));
+            memset(body, (int)j + 1, sizeof(body));
+            fixture->udp.super.klass->send(&fixture->udp.super, &to,
+                                           header_bytes, body_bytes);
+        }
+        GbUdp_Flush(&fixture->udp);
+        for (uint32_t j = 0; row->is_sent && j < row->count; j++) {
+            g_assert_cmpint(loopback_receive(fd, NULL, data, sizeof(data)), ==,
+                            row->header_bytes + row->body_bytes);
+            g_assert_cmpuint(data[0], ==, row->header_bytes > 0 ? j : j + 1);
+            g_assert_cmpuint(data[row->header_bytes + row->body_bytes - 1], ==,
+                             row->body_bytes > 0 ? j + 1 : j);
+        }
+        g_assert_cmpuint(fixture->counters.values[GB_COUNTER_DATAGRAMS_SENT],
+                         ==, row->is_sent ? row->count : 0);
+        g_assert_cmpuint(fixture->counters.values[GB_COUNTER_SEND_FAILURES],
+                         ==, row->is_sent ? 0 : row->count);
+        close(fd);
+        fixture_free(fixture);
+    }
+}
+
+struct ReceiveCase {
+    const char *name;
+    uint32_t size_bytes;
+    uint32_t count;
+    /* Size that is passed on: what exceeds the buffer is cut off. */
+    uint32_t expected_bytes;
+};
+
+static const struct ReceiveCase receive_cases[] = {
+    {"empty", 0, 1, 0},
+    {"one byte", 1, 1, 1},
+    {"several batches", 100, 100, 100},
+    {"full buffer", GB_UDP_BUFFER_BYTES, 1, GB_UDP_BUFFER_BYTES},
+    {"beyond the buffer", GB_UDP_BUFFER_BYTES + 1, 1, GB_UDP_BUFFER_BYTES},
+};
+
+/* Guards against a batch of which some datagrams are not passed on, and
+ * against a size beyond the buffer. */
+static void
+test_receive(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(receive_cases); i++) {
+        const struct ReceiveCase *row = &receive_cases[i];
+        struct UdpFixture *fixture = fixture_new();
+        uint8_t data[DATAGRAM_MAX];
+        int fd = loopback_socket();
+
+        g_test_message("%s", row->name);
+        memset(data, 0x5a, sizeof(data));
+        for (uint32_t j = 0; j < row->count; j++) {
+            loopback_send(fd, &fixture->address, data, row->size_bytes);
+        }
+        while (fixture->listener.count < row->count) {
+            event_base_loop(fixture->base, EVLOOP_ONCE);
+        }
+        g_assert_cmpuint(fixture->listener.count, ==, row->count);
+        g_assert_cmpuint(fixture->listener.last_bytes, ==,
+                         row->expected_bytes);
+        g_assert_cmpuint(fixture->listener.first_byte, ==,
+                         row->expected_bytes > 0 ? 0x5a : 0);
+        g_assert_cmpuint(
+            fixture->counters.values[GB_COUNTER_DATAGRAMS_RECEIVED], ==,
+            row->count);
+        close(fd);
+        fixture_free(fixture);
+    }
+}
+
+struct OpenCase {
+    const char *name;
+    bool is_first_shared;
+    bool is_second_shared;
+    bool is_second_opened;
+};
+
+static const struct OpenCase open_cases[] = {
+    {"both shared", true, true, true},
+    {"second not shared", true, false, false},
+    {"first not shared", false, true, false},
+    {"none shared", false, false, false},
+};
+
+/* Guards against two processes that take each other's datagrams because they
+ * were given the same port. */
+static void
+test_shared_port(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(open_cases); i++) {
+        static const struct GbAddress any_port = {LOOPBACK_IPV4, 0};
+        const struct OpenCase *row = &open_cases[i];
+        struct event_base *base = event_base_new();
+        struct GbUdp *udps = g_new0(struct GbUdp, 2);
+        struct KeepingListener listener = {{keep}, 0, 0, 0};
+        struct GbCounters counters;
+        struct GbLastMessage last = {{0}};
+        struct GbAddress address;
+
+        g_test_message("%s", row->name);
+        GbCounters_Init(&counters);
+        g_assert_cmpint(GbUdp_Open(&udps[0], &any_port, row->is_first_shared,
+                                   base, &listener.super, &counters, &last),
+                        ==, GB_TRANSPORT_OK);
+        address = GbUdp_Address(&udps[0]);
+        g_assert_cmpint(
+            GbUdp_Open(&udps[1], &address, row->is_second_shared, base,
+                       &listener.super, &counters, &last),
+            ==, row->is_second_opened ? GB_TRANSPORT_OK : GB_TRANSPORT_SYSTEM);
+        if (!row->is_second_opened) {
+            g_assert_nonnull(strstr(last.text, "no UDP socket on 127.0.0.1"));
+        }
+        GbUdp_Close(&udps[0]);
+        GbUdp_Close(&udps[1]);
+        event_base_free(base);
+        g_free(udps);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/udp/send", test_send);
+    g_test_add_func("/udp/receive", test_receive);
+    g_test_add_func("/udp/shared-port", test_shared_port);
+    return g_test_run();
+}
