--- /dev/null
+++ b/tests/test_reader.c
@@ -0,0 +1,150 @@
+#include "protocol/reader.h"
+
+#include <glib.h>
+
+#include "protocol/writer.h"
+
+#define BUFFER_BYTES 512
+
+static const uint64_t numbers[] = {
+    0,
+    1,
+    0x7f,
+    0x80,
+    0xff,
+    0x100,
+    0xffff,
+    0x10000,
+    0xffffffff,
+    UINT64_C(0x100000000),
+    UINT64_MAX - 1,
+    UINT64_MAX,
+};
+
+/* Guards against a width of msgpack-c's encoding that the reader does not
+ * take, and against a limit that is off by one. */
+static void
+test_numbers(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        uint8_t data[BUFFER_BYTES];
+        struct GbWriter writer;
+        struct GbReader reader;
+
+        g_test_message("%" G_GUINT64_FORMAT, numbers[i]);
+        GbWriter_Init(&writer, data, sizeof(data));
+        GbWriter_PutArray(&writer, 1);
+        GbWriter_PutUint(&writer, numbers[i]);
+        GbReader_Init(&reader, data, GbWriter_Size(&writer));
+        g_assert_cmpuint(GbReader_Uint(&reader, numbers[i]), ==, numbers[i]);
+        g_assert_true(GbReader_IsComplete(&reader));
+        if (numbers[i] > 0) {
+            GbReader_Init(&reader, data, GbWriter_Size(&writer));
+            g_assert_cmpuint(GbReader_Uint(&reader, numbers[i] - 1), ==, 0);
+            g_assert_false(GbReader_IsComplete(&reader));
+        }
+    }
+}
+
+static const uint32_t sizes[] = {0, 1, 31, 32, 255, 256, 300};
+
+/* Guards against byte strings whose length is read with the wrong width. */
+static void
+test_bytes(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        static const uint8_t bytes[BUFFER_BYTES] = {1, 2, 3};
+        uint8_t data[2 * BUFFER_BYTES];
+        struct GbWriter writer;
+        struct GbReader reader;
+        struct GbBytes read;
+
+        g_test_message("%u bytes", sizes[i]);
+        GbWriter_Init(&writer, data, sizeof(data));
+        GbWriter_PutArray(&writer, 2);
+        GbWriter_PutBytes(&writer, bytes, sizes[i]);
+        GbWriter_PutUint(&writer, 7);
+        GbReader_Init(&reader, data, GbWriter_Size(&writer));
+        read = GbReader_Bytes(&reader, sizes[i]);
+        g_assert_cmpmem(read.data, read.size_bytes, bytes, sizes[i]);
+        g_assert_cmpuint(GbReader_Uint(&reader, 7), ==, 7);
+        g_assert_true(GbReader_IsComplete(&reader));
+        if (sizes[i] > 0) {
+            GbReader_Init(&reader, data, GbWriter_Size(&writer));
+            read = GbReader_Bytes(&reader, sizes[i] - 1);
+            g_assert_null(read.data);
+            g_assert_true(reader.is_malformed);
+        }
+    }
+}
+
+/* What is read from one item. */
+enum Kind { NUMBER, BYTES, OPTIONAL_BYTES };
+
+struct ItemCase {
+    const char *name;
+    enum Kind kind;
+    uint8_t data[12];
+    uint32_t size_bytes;
+    bool is_complete;
+};
+
+static const struct ItemCase item_cases[] = {
+    {"nil where it is allowed", OPTIONAL_BYTES, {0x91, 0xc0}, 2, true},
+    {"nil where bytes are required", BYTES, {0x91, 0xc0}, 2, false},
+    {"nil where a number is required", NUMBER, {0x91, 0xc0}, 2, false},
+    {"number where bytes are required", BYTES, {0x91, 0x01}, 2, false},
+    {"bytes where a number is required", NUMBER, {0x91, 0xc4, 0x00}, 3, false},
+    {"string instead of bytes", BYTES, {0x91, 0xa1, 'a'}, 3, false},
+    {"negative fixint", NUMBER, {0x91, 0xff}, 2, false},
+    {"signed 8 bits", NUMBER, {0x91, 0xd0, 0x01}, 3, false},
+    {"float", NUMBER, {0x91, 0xca, 0, 0, 0, 0}, 6, false},
+    {"true", NUMBER, {0x91, 0xc3}, 2, false},
+    {"number that is cut off", NUMBER, {0x91, 0xcd, 0x01}, 3, false},
+    {"number without its bytes", NUMBER, {0x91, 0xcf}, 2, false},
+    {"length that is cut off", BYTES, {0x91, 0xc5, 0x00}, 3, false},
+    {"bytes that are cut off", BYTES, {0x91, 0xc4, 0x02, 0x55}, 4, false},
+    {"length of 4 GB", BYTES, {0x91, 0xc6, 0xff, 0xff, 0xff, 0xff}, 6, false},
+    {"something behind the array", NUMBER, {0x91, 0x01, 0x01}, 3, false},
+    {"item that is not read", NUMBER, {0x92, 0x01, 0x01}, 3, false},
+    {"no items", NUMBER, {0x90}, 1, false},
+    {"longer encoding than needed", NUMBER, {0x91, 0xcd, 0x00, 0x01}, 4, true},
+};
+
+/* Guards against types that look alike and lengths beyond the input. */
+static void
+test_items(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(item_cases); i++) {
+        const struct ItemCase *row = &item_cases[i];
+        /* A copy of its own size shows reads beyond the end. */
+        uint8_t *data = g_memdup2(row->data, row->size_bytes);
+        struct GbReader reader;
+
+        g_test_message("%s", row->name);
+        GbReader_Init(&reader, data, row->size_bytes);
+        switch (row->kind) {
+        case NUMBER:
+            GbReader_Uint(&reader, UINT64_MAX);
+            break;
+        case BYTES:
+            GbReader_Bytes(&reader, UINT32_MAX);
+            break;
+        default:
+            GbReader_OptionalBytes(&reader, UINT32_MAX);
+            break;
+        }
+        g_assert_true(GbReader_IsComplete(&reader) == row->is_complete);
+        g_free(data);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/reader/numbers", test_numbers);
+    g_test_add_func("/reader/bytes", test_bytes);
+    g_test_add_func("/reader/items", test_items);
+    return g_test_run();
+}
