Build the fuzz target from the files that it uses

make fuzz failed since tests/support holds load generators that need GNU extensions. It names its four support files now and defines _GNU_SOURCE as the other targets do. A run of 20 s finds nothing.

--- a/Makefile
+++ b/Makefile
@@ -51,9 +51,11 @@
 fuzz: deps
 	mkdir -p $(BUILD)-fuzz
 	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
-	  -fno-sanitize-recover=all -Isrc -Itests -DGB_VERSION='"fuzz"' \
+	  -fno-sanitize-recover=all -Isrc -Itests -D_GNU_SOURCE -DGB_VERSION='"fuzz"' \
 	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack) \
-	  tests/fuzz/fuzz_datagram.c tests/support/*.c src/state/*.c \
+	  tests/fuzz/fuzz_datagram.c \
+	  $(addprefix tests/support/,fleet.c hostile.c sample_messages.c \
+	    wire_fixture.c) src/state/*.c \
 	  src/coordination/*.c \
 	  $$(ls src/protocol/*.c | grep -v document_json) \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
