--- a/Makefile
+++ b/Makefile
@@ -39,13 +39,26 @@
 layers:
 	tools/check-layers.sh
 
+# Without the cache of each thread, glibc counts freed memory as free.
+bench: build
+	$(BUILD)/bench_forward
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
+
+bench-capacity: build
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_balancer
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_agent
+	$(BUILD)/bench_capacity_platform
+
 # Random datagrams under libFuzzer and the sanitizers. Not part of CI.
 fuzz: deps
 	mkdir -p $(BUILD)-fuzz
 	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
-	  -fno-sanitize-recover=all -Isrc -Itests -DGB_VERSION='"fuzz"' \
+	  -fno-sanitize-recover=all -Isrc -Itests -D_GNU_SOURCE -DGB_VERSION='"fuzz"' \
 	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack) \
-	  tests/fuzz/fuzz_datagram.c tests/support/*.c src/state/*.c \
+	  tests/fuzz/fuzz_datagram.c \
+	  $(addprefix tests/support/,fleet.c hostile.c sample_messages.c \
+	    wire_fixture.c) src/state/*.c \
 	  src/coordination/*.c \
 	  $$(ls src/protocol/*.c | grep -v document_json) \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
