--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
+fault-matrix: build
+	$(BUILD)/tests/test_fault_matrix
+
 format:
 	git ls-files '*.c' '*.h' | xargs clang-format -i
 
