Let a session leave an agent that is silent

A call that ended without any reply kept its session's token. The token is now dropped when a call under it ends without a reply.

tests/test_silent_agent.c failed before at its count of unbound calls and passes now.

--- a/src/coordination/call_timer.c
+++ b/src/coordination/call_timer.c
@@ -59,6 +59,7 @@
     if (call->operation->is_idempotent && GbCall_Move(call)) {
         return true;
     }
+    GbCall_DropToken(call);
     GbCall_EndUnknown(call, 0);
     return false;
 }
@@ -74,6 +75,8 @@
         }
     }
     else if (now_us >= call->end_us) {
+        /* Its agent is silent: the next call of the session binds anew. */
+        GbCall_DropToken(call);
         GbCall_GiveUp(call, 0);
         return;
     }
--- /dev/null
+++ b/tests/test_silent_agent.c
@@ -0,0 +1,117 @@
+#include <glib.h>
+#include <string.h>
+
+#include "coordination/caller.h"
+
+#define DEADLINE_MS 1500
+#define CALL_PERIOD_US INT64_C(250000)
+#define DURATION_US INT64_C(6000000)
+#define START_US INT64_C(1000000)
+#define SEED 7
+
+/* Agent that binds a session and is never heard of again. */
+struct SilentAgent {
+    struct GbCallerPort super;
+    struct GbCaller caller;
+    struct GbManualClock clock;
+    struct GbSeededRandom random;
+    uint32_t unbound_calls;
+    uint32_t outcomes[GB_OUTCOME_UNKNOWN + 1];
+};
+
+struct SilenceCase {
+    const char *name;
+    bool is_idempotent;
+    enum GbOutcome expected;
+};
+
+static const struct SilenceCase silence_cases[] = {
+    {"non-idempotent calls", false, GB_OUTCOME_UNKNOWN},
+    {"idempotent calls", true, GB_OUTCOME_UNKNOWN},
+};
+
+static void
+take_message(struct GbCallerPort *port, const struct GbMessage *message)
+{
+    struct SilentAgent *self = (struct SilentAgent *)port;
+
+    if (message->kind == GB_MESSAGE_CALL && !message->has_token) {
+        self->unbound_calls++;
+    }
+}
+
+static void
+take_outcome(struct GbCallerPort *port, void *context,
+             const struct GbResult *result)
+{
+    (void)context;
+    ((struct SilentAgent *)port)->outcomes[result->outcome]++;
+}
+
+static const struct GbCallerPortClass silent_class = {
+    .send = take_message,
+    .deliver = take_outcome,
+};
+
+/* Has the first call of the flow bound. */
+static void
+bind_flow(struct SilentAgent *self, const struct GbCallerFlow *flow,
+          uint32_t service_id)
+{
+    struct GbMessage bind = {.kind = GB_MESSAGE_NOT_RUN};
+
+    bind.service_id = service_id;
+    bind.flow_id = flow->id;
+    bind.request_id = flow->last_request_id;
+    bind.not_run = GB_NOT_RUN_BIND;
+    bind.has_token = true;
+    memset(bind.sealed_token, 1, GB_SEALED_TOKEN_BYTES);
+    GbCaller_Receive(&self->caller, &bind);
+    g_assert_true(flow->has_token);
+    self->unbound_calls = 0;
+}
+
+/* Guards against a session in steady use that stays with a dead agent: its
+ * calls would be unknown for as long as it is used. */
+static void
+test_session_leaves(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+        const struct SilenceCase *row = &silence_cases[i];
+        struct GbOperation operation = {.name = "check", .id = 1};
+        struct GbService service = {.name = "desk", .id = 1};
+        struct GbCallerFlow flow;
+        struct SilentAgent agent = {.super = {&silent_class}};
+        struct GbBytes body = {(const uint8_t *)"key", 3};
+
+        g_test_message("%s", row->name);
+        operation.deadline_ms = DEADLINE_MS;
+        operation.is_idempotent = row->is_idempotent;
+        GbManualClock_Init(&agent.clock, START_US, START_US);
+        GbSeededRandom_Init(&agent.random, SEED);
+        GbCaller_Init(&agent.caller, &service, &agent.super,
+                      &agent.clock.super, &agent.random.super);
+        GbCaller_OpenFlow(&agent.caller, &flow);
+        g_assert_true(
+            GbCaller_Call(&agent.caller, &flow, &operation, body, NULL));
+        bind_flow(&agent, &flow, service.id);
+        for (int64_t at_us = 0; at_us < DURATION_US; at_us += CALL_PERIOD_US) {
+            GbManualClock_Advance(&agent.clock, CALL_PERIOD_US);
+            GbCaller_Tick(&agent.caller);
+            g_assert_true(
+                GbCaller_Call(&agent.caller, &flow, &operation, body, NULL));
+        }
+        g_assert_cmpuint(agent.outcomes[row->expected], >, 0);
+        g_assert_cmpuint(agent.unbound_calls, >, 0);
+        g_assert_false(flow.has_token);
+        GbCaller_Finish(&agent.caller);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/silent_agent/session_leaves", test_session_leaves);
+    return g_test_run();
+}
