Test whole processes while one of them fails or leaves

Nothing ran the built programs against each other under failures. The new tests start three balancers, three agents with their targets and the platform as processes on loopback, keep non-idempotent checks and a download going, and kill, pause or stop a balancer or the agent of the download, kill its target or the platform, or send 20,000 malformed datagrams. They then compare every outcome with the targets' own logs and bytes, and planned stops with exit code 0.

tests/support has what other tests and the demo can use: a group of processes that ends exactly what it started, an environment, the run log and malformed datagrams.

--- /dev/null
+++ b/tests/support/environment.c
@@ -0,0 +1,296 @@
+#include "support/environment.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/document_json.h"
+#include "support/http_get.h"
+
+#define START_TIMEOUT_MS 10000
+#define POLL_MS 10
+#define US_PER_MS 1000
+#define NUMBER_BASE 10
+#define HTTP_OK 200
+#define LOOPBACK 0x7f000001U
+#define KEY "000102030405060708090a0b0c0d0e0f"
+#define DATA_CENTRE "dc1"
+
+static const char no_parent[] = "00000000000000000000000000000000";
+
+/* Flags of one program. */
+struct Arguments {
+    const char *items[GB_ENVIRONMENT_ARGUMENTS_MAX * 2];
+    uint32_t count;
+};
+
+static void
+add(struct Arguments *self, const char *flag, const char *value)
+{
+    g_assert_cmpuint(self->count + 2, <, G_N_ELEMENTS(self->items));
+    self->items[self->count++] = flag;
+    self->items[self->count++] = value;
+}
+
+static void
+add_all(struct Arguments *self, const char *const *flags)
+{
+    for (size_t i = 0; flags[i] != NULL; i += 2) {
+        add(self, flags[i], flags[i + 1]);
+    }
+}
+
+static void
+start_platform(struct GbEnvironment *self)
+{
+    struct Arguments arguments = {0};
+
+    add(&arguments, "--document", self->document_path);
+    add(&arguments, "--instances", self->instances_path);
+    self->platform = GbProcessGroup_Start(&self->group, "platform",
+                                          "platform-standin", arguments.items);
+    self->platform_port =
+        GbProcess_WaitPort(self->platform, "port=", START_TIMEOUT_MS);
+    g_assert_cmpuint(self->platform_port, !=, 0);
+}
+
+static void
+start_member(struct GbEnvironment *self, struct GbMember *member,
+             const char *program, const char *name,
+             struct Arguments *arguments)
+{
+    char *platform = g_strdup_printf("127.0.0.1:%u", self->platform_port);
+
+    add(arguments, "--instance", name);
+    add(arguments, "--data-centre", DATA_CENTRE);
+    add(arguments, "--platform", platform);
+    add(arguments, "--key", KEY);
+    member->process =
+        GbProcessGroup_Start(&self->group, name, program, arguments->items);
+    member->address.ipv4 = LOOPBACK;
+    g_free(platform);
+}
+
+static void
+wait_started(struct GbMember *member)
+{
+    member->http_port =
+        GbProcess_WaitPort(member->process, "http_port=", START_TIMEOUT_MS);
+    member->address.port = GbProcess_WaitPort(
+        member->process, " listen=127.0.0.1:", START_TIMEOUT_MS);
+    g_assert_cmpuint(member->http_port, !=, 0);
+    g_assert_cmpuint(member->address.port, !=, 0);
+}
+
+static struct GbMember *
+start_balancer(struct GbEnvironment *self)
+{
+    struct GbMember *member = &self->balancers[self->balancer_count];
+    struct Arguments arguments = {0};
+    char *name = g_strdup_printf("balancer-%u", self->balancer_count + 1);
+
+    g_assert_cmpuint(self->balancer_count, <, GB_ENVIRONMENT_MEMBERS_MAX);
+    self->balancer_count++;
+    add_all(&arguments, self->config->balancer_arguments);
+    start_member(self, member, "guavabend-balancer", name, &arguments);
+    g_free(name);
+    return member;
+}
+
+static void
+start_target(struct GbEnvironment *self, const struct GbPoolConfig *pool)
+{
+    struct GbHost *host = &self->hosts[self->host_count];
+    char *name =
+        g_strdup_printf("target-%s-%u", pool->service, self->host_count + 1);
+
+    g_assert_cmpuint(self->host_count, <, GB_ENVIRONMENT_MEMBERS_MAX);
+    self->host_count++;
+    host->pool = pool;
+    host->target = GbProcessGroup_Start(&self->group, name, "target-standin",
+                                        pool->target_arguments);
+    g_free(name);
+}
+
+static void
+start_agent(struct GbEnvironment *self, struct GbHost *host)
+{
+    struct Arguments arguments = {0};
+    char *name = g_strdup_printf("agent-%s-%u", host->pool->service,
+                                 (unsigned)(host - self->hosts) + 1);
+    char *target;
+
+    host->target_port =
+        GbProcess_WaitPort(host->target, "port=", START_TIMEOUT_MS);
+    g_assert_cmpuint(host->target_port, !=, 0);
+    target = g_strdup_printf("127.0.0.1:%u", host->target_port);
+    add(&arguments, "--service", host->pool->service);
+    add(&arguments, "--target", target);
+    add_all(&arguments, self->config->agent_arguments);
+    start_member(self, &host->agent, "guavabend-agent", name, &arguments);
+    g_free(target);
+    g_free(name);
+}
+
+static void
+append_instance(GString *list, const struct GbMember *member, const char *role,
+                const char *service)
+{
+    char address[GB_ADDRESS_TEXT_BYTES];
+
+    g_string_append_printf(
+        list,
+        "%s{\"name\":\"%s\",\"role\":\"%s\",\"service\":\"%s\","
+        "\"address\":\"%s\",\"data_centre\":\"" DATA_CENTRE
+        "\",\"state\":\"%s\",\"weight\":1}",
+        list->str[list->len - 1] == '[' ? "" : ",\n", member->process->name,
+        role, service, GbAddress_Format(&member->address, address),
+        member->is_leaving ? "leaving" : "live");
+}
+
+static void
+wait_all_ready(struct GbEnvironment *self)
+{
+    for (uint32_t i = 0; i < self->balancer_count; i++) {
+        g_assert_true(GbMember_WaitReadiness(&self->balancers[i], HTTP_OK,
+                                             START_TIMEOUT_MS));
+    }
+    for (uint32_t i = 0; i < self->host_count; i++) {
+        g_assert_true(GbMember_WaitReadiness(&self->hosts[i].agent, HTTP_OK,
+                                             START_TIMEOUT_MS));
+    }
+}
+
+void
+GbEnvironment_Start(struct GbEnvironment *self,
+                    const struct GbEnvironmentConfig *config)
+{
+    memset(self, 0, sizeof(*self));
+    self->config = config;
+    GbProcessGroup_Init(&self->group, config->build_dir);
+    self->document_path = GbProcessGroup_Path(&self->group, "document.json");
+    self->instances_path = GbProcessGroup_Path(&self->group, "instances.json");
+    GbEnvironment_PublishDocument(self);
+    GbEnvironment_PublishInstances(self);
+    start_platform(self);
+    for (uint32_t pool = 0; pool < config->pool_count; pool++) {
+        for (uint32_t i = 0; i < config->pools[pool].hosts; i++) {
+            start_target(self, &config->pools[pool]);
+        }
+    }
+    for (uint32_t i = 0; i < self->host_count; i++) {
+        start_agent(self, &self->hosts[i]);
+    }
+    for (uint32_t i = 0; i < config->balancers; i++) {
+        start_balancer(self);
+    }
+    for (uint32_t i = 0; i < self->host_count; i++) {
+        wait_started(&self->hosts[i].agent);
+    }
+    for (uint32_t i = 0; i < self->balancer_count; i++) {
+        wait_started(&self->balancers[i]);
+    }
+    GbEnvironment_PublishInstances(self);
+    wait_all_ready(self);
+}
+
+void
+GbEnvironment_Finish(struct GbEnvironment *self)
+{
+    GbProcessGroup_Finish(&self->group);
+    g_free(self->document_path);
+    g_free(self->instances_path);
+}
+
+struct GbMember *
+GbEnvironment_AddBalancer(struct GbEnvironment *self)
+{
+    struct GbMember *member = start_balancer(self);
+
+    wait_started(member);
+    GbEnvironment_PublishInstances(self);
+    return member;
+}
+
+void
+GbEnvironment_PublishInstances(struct GbEnvironment *self)
+{
+    GString *list = g_string_new(NULL);
+
+    g_string_append_printf(list, "{\"version\":%" PRIu64 ",\"instances\":[",
+                           ++self->instances_version);
+    for (uint32_t i = 0; i < self->balancer_count; i++) {
+        append_instance(list, &self->balancers[i], "balancer", "");
+    }
+    for (uint32_t i = 0; i < self->host_count; i++) {
+        append_instance(list, &self->hosts[i].agent, "agent",
+                        self->hosts[i].pool->service);
+    }
+    g_string_append(list, "]}\n");
+    g_assert_true(g_file_set_contents(self->instances_path, list->str,
+                                      (gssize)list->len, NULL));
+    g_string_free(list, TRUE);
+}
+
+void
+GbEnvironment_PublishDocument(struct GbEnvironment *self)
+{
+    char *text = g_strdup_printf(
+        "{\"revision\":%" PRIu64 ",\"parent\":\"%s\",\n"
+        "\"requested_by\":\"network-team\",\n"
+        "\"requested_at\":\"2030-01-31T08:00:00Z\",\n"
+        "\"in_force_from\":\"2020-01-31T08:00:00Z\",\n"
+        "\"services\":%s}\n",
+        ++self->revision, no_parent, self->config->services_json);
+
+    g_assert_true(g_file_set_contents(self->document_path, text, -1, NULL));
+    g_free(text);
+}
+
+struct GbDocument *
+GbEnvironment_ReadDocument(struct GbEnvironment *self)
+{
+    struct GbDocument *document;
+    GString *errors = g_string_new(NULL);
+    gchar *data;
+    gsize size_bytes;
+
+    g_assert_true(
+        g_file_get_contents(self->document_path, &data, &size_bytes, NULL));
+    GbDocumentJson_Parse(&document, (const uint8_t *)data, size_bytes, errors);
+    g_assert_cmpstr(errors->str, ==, "");
+    g_string_free(errors, TRUE);
+    g_free(data);
+    return document;
+}
+
+bool
+GbMember_WaitReadiness(const struct GbMember *self, int status,
+                       uint32_t timeout_ms)
+{
+    for (uint32_t waited_ms = 0; waited_ms < timeout_ms;
+         waited_ms += POLL_MS) {
+        if (GbHttp_Get(self->http_port, "/readyz", NULL) == status) {
+            return true;
+        }
+        g_usleep(POLL_MS * US_PER_MS);
+    }
+    return false;
+}
+
+uint64_t
+GbMember_Revision(const struct GbMember *self)
+{
+    static const char key[] = "\"revision\":";
+    GString *body = g_string_new(NULL);
+    uint64_t revision = 0;
+    const char *found;
+
+    GbHttp_Get(self->http_port, "/status", body);
+    found = strstr(body->str, key);
+    if (found != NULL) {
+        revision = strtoull(found + strlen(key), NULL, NUMBER_BASE);
+    }
+    g_string_free(body, TRUE);
+    return revision;
+}
--- /dev/null
+++ b/tests/support/malformed.c
@@ -0,0 +1,119 @@
+#include "support/malformed.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "protocol/codec.h"
+#include "protocol/envelope.h"
+#include "state/random.h"
+
+#define SEED 20260131
+#define DATAGRAM_BYTES_MAX 2000
+#define CHANGES_MAX 4
+/* Pause after so many, so that the receiver reads most of them. */
+#define BATCH 64
+#define BATCH_PAUSE_US 1000
+
+enum Form { FORM_RANDOM, FORM_MESSAGE, FORM_ENVELOPE, FORM_END };
+
+static uint32_t
+fill_random(struct GbRandom *random, uint8_t *data)
+{
+    uint32_t size_bytes = GbRandom_Below(random, DATAGRAM_BYTES_MAX);
+
+    for (uint32_t i = 0; i < size_bytes; i++) {
+        data[i] = (uint8_t)GbRandom_Next(random);
+    }
+    return size_bytes;
+}
+
+static uint32_t
+fill_message(struct GbRandom *random, uint32_t service_id, uint8_t *data)
+{
+    static const uint8_t stray[] = "stray";
+    struct GbMessage message = {0};
+
+    message.kind = 1 + GbRandom_Below(random, GB_MESSAGE_KIND_END - 1);
+    message.service_id = service_id;
+    message.flow_id = GbRandom_Next(random);
+    message.request_id = 1;
+    message.has_token = GbRandom_Below(random, 2) == 0;
+    if (message.kind == GB_MESSAGE_CALL) {
+        message.call.operation_id = 2;
+        message.call.body.data = stray;
+        message.call.body.size_bytes = sizeof(stray) - 1;
+    }
+    return GbCodec_Encode(&message, NULL, data, GB_DATAGRAM_BYTES);
+}
+
+static uint32_t
+fill_envelope(struct GbRandom *random, uint32_t service_id, uint8_t *data)
+{
+    struct GbEnvelope envelope = {0};
+    uint32_t header_bytes;
+
+    envelope.kind = GbRandom_Below(random, 2) == 0 ? GB_ENVELOPE_TO_AGENT
+                                                   : GB_ENVELOPE_TO_BALANCER;
+    envelope.path.caller.ipv4 = INADDR_LOOPBACK;
+    envelope.path.tag = GbRandom_Next(random);
+    envelope.inner.data = data;
+    header_bytes = GbEnvelope_EncodeHeader(&envelope, data);
+    return header_bytes +
+           fill_message(random, service_id, data + header_bytes);
+}
+
+/* Changes or cuts what was a valid datagram. */
+static uint32_t
+damage(struct GbRandom *random, uint8_t *data, uint32_t size_bytes)
+{
+    uint32_t changes = GbRandom_Below(random, CHANGES_MAX);
+
+    if (size_bytes == 0) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < changes; i++) {
+        data[GbRandom_Below(random, size_bytes)] =
+            (uint8_t)GbRandom_Next(random);
+    }
+    return changes == 0 ? GbRandom_Below(random, size_bytes) : size_bytes;
+}
+
+void
+GbMalformed_Send(const struct GbAddress *to, uint32_t service_id,
+                 uint32_t count)
+{
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    struct GbSeededRandom random;
+    struct sockaddr_in system = {0};
+    uint8_t data[DATAGRAM_BYTES_MAX + GB_ENVELOPE_HEADER_BYTES];
+
+    g_assert_cmpint(fd, >=, 0);
+    system.sin_family = AF_INET;
+    system.sin_addr.s_addr = htonl(to->ipv4);
+    system.sin_port = htons(to->port);
+    GbSeededRandom_Init(&random, SEED);
+    for (uint32_t i = 0; i < count; i++) {
+        enum Form form = GbRandom_Below(&random.super, FORM_END);
+        uint32_t size_bytes;
+
+        if (form == FORM_RANDOM) {
+            size_bytes = fill_random(&random.super, data);
+        }
+        else {
+            size_bytes = form == FORM_MESSAGE
+                             ? fill_message(&random.super, service_id, data)
+                             : fill_envelope(&random.super, service_id, data);
+            size_bytes = damage(&random.super, data, size_bytes);
+        }
+        sendto(fd, data, size_bytes, 0, (struct sockaddr *)&system,
+               sizeof(system));
+        if (i % BATCH == BATCH - 1) {
+            g_usleep(BATCH_PAUSE_US);
+        }
+    }
+    close(fd);
+}
--- /dev/null
+++ b/tests/test_processes.c
@@ -0,0 +1,519 @@
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "support/environment.h"
+#include "support/http_get.h"
+#include "support/malformed.h"
+#include "support/pack_bytes.h"
+#include "support/run_log.h"
+#include "transport/caller_task.h"
+
+#define SERVICE "desk"
+#define HOSTS 3
+#define BALANCERS 3
+#define CHECKS_AT_ONCE 6
+#define DEADLINE_MS 1500
+#define PACK_BYTES 600000
+/* A paused process wakes after all that it held is past its deadline. */
+#define PAUSE_MS (DEADLINE_MS + 500)
+/* Time until the fabric sends nothing to a balancer that is gone. */
+#define WITHDRAW_MS 300
+/* Answers of checks that come before and after the event. */
+#define ANSWERS_BEFORE 20
+#define ANSWERS_AFTER 60
+#define STEP_TIMEOUT_MS 30000
+#define EXIT_TIMEOUT_MS 15000
+#define WAIT_MS 10
+#define SESSION_TRIES_MAX 100
+/* Calls that a dead agent may leave unknown: those that were open, and those
+ * that its sessions made before the first of them was given up. */
+#define LOST_MAX (4 * CHECKS_AT_ONCE)
+#define US_PER_MS 1000
+#define HTTP_UNAVAILABLE 503
+#define PACK_TAG 0
+#define PACK_KEY "pack-1"
+#define MALFORMED_DATAGRAMS 20000
+
+static const char services_json[] =
+    "[{\"name\":\"desk\",\"id\":7,\"address\":\"127.0.0.1\",\"port\":0,"
+    "\"slots\":3,\"ramp_ms\":0,\"long_after_ms\":1000,"
+    "\"drain\":{\"flow_ms\":300},"
+    "\"limits\":{\"flows\":30000,\"queue\":192,\"rate_per_s\":30000,"
+    "\"retry_budget_percent\":100},\"operations\":["
+    "{\"name\":\"check\",\"id\":1,\"class\":\"short\",\"idempotent\":false,"
+    "\"deadline_ms\":1500,\"max_answer_bytes\":4096},"
+    "{\"name\":\"look-up\",\"id\":2,\"class\":\"short\",\"idempotent\":true,"
+    "\"deadline_ms\":1500,\"max_answer_bytes\":4096},"
+    "{\"name\":\"pack\",\"id\":3,\"class\":\"long\",\"idempotent\":true,"
+    "\"deadline_ms\":15000,\"max_answer_bytes\":4000000}]}]";
+
+static const struct GbPoolConfig pools[] = {
+    {SERVICE,
+     HOSTS,
+     {"--slots", "3", "--work-ms", "15", "--pack-bytes", "600000",
+      "--chunk-bytes", "12000", "--chunk-ms", "40", NULL}},
+};
+
+static const struct GbEnvironmentConfig environment_config = {
+    .build_dir = GB_BUILD_DIR,
+    .services_json = services_json,
+    .balancer_arguments = {"--quiet-ms", "300", "--stop-limit-ms", "10000",
+                           NULL},
+    .agent_arguments = {"--stop-limit-ms", "14000", NULL},
+    .balancers = BALANCERS,
+    .pools = pools,
+    .pool_count = G_N_ELEMENTS(pools),
+};
+
+enum Victim {
+    VICTIM_NONE,
+    VICTIM_BALANCER,
+    /* Agent and target of the pack that is being downloaded. */
+    VICTIM_AGENT,
+    VICTIM_TARGET,
+    VICTIM_PLATFORM
+};
+
+enum Event { EVENT_KILL, EVENT_PAUSE, EVENT_STOP, EVENT_MALFORMED };
+
+struct RunCase {
+    const char *name;
+    enum Victim victim;
+    enum Event event;
+    /* Most checks whose outcome may be "unknown" and "not run". */
+    uint32_t unknown_max;
+    uint32_t not_run_max;
+};
+
+#define ANY UINT32_MAX
+
+static const struct RunCase run_cases[] = {
+    {"balancer is killed", VICTIM_BALANCER, EVENT_KILL, 0, 0},
+    {"balancer is paused", VICTIM_BALANCER, EVENT_PAUSE, 0, 0},
+    {"balancer is stopped", VICTIM_BALANCER, EVENT_STOP, 0, 0},
+    {"agent is killed", VICTIM_AGENT, EVENT_KILL, LOST_MAX, ANY},
+    {"agent is paused", VICTIM_AGENT, EVENT_PAUSE, ANY, ANY},
+    {"agent is stopped", VICTIM_AGENT, EVENT_STOP, 0, 0},
+    {"target dies", VICTIM_TARGET, EVENT_KILL, ANY, ANY},
+    {"platform dies", VICTIM_PLATFORM, EVENT_KILL, 0, 0},
+    {"malformed datagrams", VICTIM_NONE, EVENT_MALFORMED, 0, 0},
+};
+
+/* A run in progress: calls are kept going until enough have been answered
+ * after the event. */
+struct Run {
+    const struct RunCase *row;
+    struct GbEnvironment environment;
+    struct GbDocument *document;
+    const struct GbService *service;
+    struct GbSystemClock clock;
+    struct GbCallerTask task;
+    uint64_t session;
+    uint64_t last_tag;
+    /* Outcomes by tag; NULL while there is none. */
+    GPtrArray *outcomes;
+    uint32_t open_checks;
+    uint32_t answered;
+    uint32_t not_run;
+    uint32_t unknown;
+};
+
+static char *
+key_of(uint64_t tag)
+{
+    return g_strdup_printf("check-%" G_GUINT64_FORMAT, tag);
+}
+
+static void
+call(struct Run *run, const char *operation, const char *key, uint64_t tag,
+     bool is_in_session)
+{
+    const struct GbOperation *found =
+        GbService_OperationByName(run->service, operation);
+    struct GbBytes body = {(const uint8_t *)key, (uint32_t)strlen(key)};
+    enum GbTransportStatus status =
+        is_in_session ? GbCallerTask_CallInSession(&run->task, run->session,
+                                                   tag, found, body)
+                      : GbCallerTask_Call(&run->task, tag, found, body);
+
+    g_assert_cmpint(status, ==, GB_TRANSPORT_OK);
+    g_ptr_array_add(run->outcomes, NULL);
+}
+
+static void
+call_check(struct Run *run, bool is_in_session)
+{
+    char *key = key_of(++run->last_tag);
+
+    call(run, "check", key, run->last_tag, is_in_session);
+    run->open_checks++;
+    g_free(key);
+}
+
+/* Every other check belongs to the session. */
+static void
+keep_checks_open(struct Run *run)
+{
+    while (run->open_checks < CHECKS_AT_ONCE) {
+        call_check(run, run->last_tag % 2 == 0);
+    }
+}
+
+static void
+take_outcome(struct Run *run, uint32_t timeout_ms)
+{
+    struct GbCallOutcome *outcome =
+        GbCallerTask_WaitOutcome(&run->task, timeout_ms);
+
+    if (outcome == NULL) {
+        return;
+    }
+    g_assert_null(run->outcomes->pdata[outcome->tag]);
+    run->outcomes->pdata[outcome->tag] = outcome;
+    if (outcome->tag == PACK_TAG) {
+        return;
+    }
+    run->open_checks--;
+    run->answered += outcome->result.outcome == GB_OUTCOME_ANSWERED;
+    run->not_run += outcome->result.outcome == GB_OUTCOME_NOT_RUN;
+    run->unknown += outcome->result.outcome == GB_OUTCOME_UNKNOWN;
+}
+
+static int64_t
+now_ms(struct Run *run)
+{
+    return GbClock_MonotonicUs(&run->clock.super) / US_PER_MS;
+}
+
+/* Keeps calls going until so many more checks are answered and so much time
+ * has passed. */
+static void
+continue_calls(struct Run *run, uint32_t answers, int64_t duration_ms)
+{
+    uint32_t wanted = run->answered + answers;
+    int64_t started_ms = now_ms(run);
+
+    while (run->answered < wanted || now_ms(run) - started_ms < duration_ms) {
+        g_assert_cmpint(now_ms(run) - started_ms, <, STEP_TIMEOUT_MS);
+        keep_checks_open(run);
+        take_outcome(run, WAIT_MS);
+    }
+}
+
+static uint32_t
+runs_at(const struct GbHost *host, const char *key)
+{
+    struct GbRunLog log;
+    uint32_t runs;
+
+    GbRunLog_Init(&log);
+    GbRunLog_Add(&log, host->target);
+    runs = GbRunLog_Runs(&log, key);
+    GbRunLog_Finish(&log);
+    return runs;
+}
+
+/* Host whose target runs the pack. */
+static struct GbHost *
+wait_pack_host(struct Run *run)
+{
+    int64_t started_ms = now_ms(run);
+
+    for (;;) {
+        for (uint32_t i = 0; i < run->environment.host_count; i++) {
+            if (runs_at(&run->environment.hosts[i], PACK_KEY) > 0) {
+                return &run->environment.hosts[i];
+            }
+        }
+        g_assert_cmpint(now_ms(run) - started_ms, <, STEP_TIMEOUT_MS);
+        g_usleep(WAIT_MS * US_PER_MS);
+    }
+}
+
+/* Opens the session that the checks use, with a host that will be hit. */
+static void
+open_session_at(struct Run *run, const struct GbHost *host)
+{
+    for (uint32_t i = 0; i < SESSION_TRIES_MAX; i++) {
+        char *key;
+        uint32_t runs;
+
+        g_assert_cmpint(GbCallerTask_OpenSession(&run->task, &run->session),
+                        ==, GB_TRANSPORT_OK);
+        call_check(run, true);
+        while (run->open_checks > 0) {
+            take_outcome(run, WAIT_MS);
+        }
+        key = key_of(run->last_tag);
+        runs = runs_at(host, key);
+        g_free(key);
+        if (runs > 0) {
+            return;
+        }
+        GbCallerTask_CloseSession(&run->task, run->session);
+    }
+    g_error("no session was bound to %s", host->target->name);
+}
+
+static void
+use_balancers(struct Run *run, bool is_first_used)
+{
+    struct GbAddress addresses[BALANCERS];
+    uint32_t count = 0;
+
+    for (uint32_t i = is_first_used ? 0 : 1; i < BALANCERS; i++) {
+        addresses[count++] = run->environment.balancers[i].address;
+    }
+    GbCallerTask_SetBalancers(&run->task, addresses, count);
+}
+
+static void
+start(struct Run *run)
+{
+    struct GbLastMessage last;
+
+    GbEnvironment_Start(&run->environment, &environment_config);
+    run->document = GbEnvironment_ReadDocument(&run->environment);
+    run->service = GbDocument_ServiceByName(run->document, SERVICE);
+    run->outcomes = g_ptr_array_new();
+    GbSystemClock_Init(&run->clock);
+    GbCallerTask_Init(&run->task, run->document, run->service,
+                      &run->clock.super);
+    g_assert_cmpint(GbTask_Open(&run->task.super, &last), ==, GB_TRANSPORT_OK);
+    g_assert_cmpint(GbTask_Start(&run->task.super, &last), ==,
+                    GB_TRANSPORT_OK);
+    use_balancers(run, true);
+}
+
+static void
+finish(struct Run *run)
+{
+    GbTask_Stop(&run->task.super);
+    for (guint i = 0; i < run->outcomes->len; i++) {
+        GbCallOutcome_Free(run->outcomes->pdata[i]);
+    }
+    g_ptr_array_unref(run->outcomes);
+    GbDocument_Unref(run->document);
+    GbEnvironment_Finish(&run->environment);
+}
+
+static struct GbProcess *
+victim_process(struct Run *run, struct GbHost *pack_host)
+{
+    switch (run->row->victim) {
+    case VICTIM_BALANCER:
+        return run->environment.balancers[0].process;
+    case VICTIM_AGENT:
+        return pack_host->agent.process;
+    case VICTIM_TARGET:
+        return pack_host->target;
+    case VICTIM_PLATFORM:
+        return run->environment.platform;
+    default:
+        return NULL;
+    }
+}
+
+static void
+send_malformed(struct Run *run, const struct GbHost *pack_host)
+{
+    const struct GbMember *members[] = {&run->environment.balancers[0],
+                                        &pack_host->agent};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+        GbMalformed_Send(&members[i]->address, run->service->id,
+                         MALFORMED_DATAGRAMS / 2);
+        continue_calls(run, ANSWERS_BEFORE, 0);
+    }
+}
+
+/* Does to the victim what the row says, with calls going on. */
+static void
+cause_event(struct Run *run, struct GbHost *pack_host)
+{
+    struct GbProcess *victim = victim_process(run, pack_host);
+    bool is_balancer = run->row->victim == VICTIM_BALANCER;
+
+    switch (run->row->event) {
+    case EVENT_KILL:
+        GbProcess_Signal(victim, SIGKILL);
+        continue_calls(run, 0, WITHDRAW_MS);
+        use_balancers(run, !is_balancer);
+        break;
+    case EVENT_PAUSE:
+        GbProcess_Signal(victim, SIGSTOP);
+        continue_calls(run, 0, WITHDRAW_MS);
+        use_balancers(run, !is_balancer);
+        continue_calls(run, 0, PAUSE_MS - WITHDRAW_MS);
+        GbProcess_Signal(victim, SIGCONT);
+        use_balancers(run, true);
+        break;
+    case EVENT_STOP:
+        GbProcess_Signal(victim, SIGTERM);
+        if (is_balancer) {
+            /* The fabric withdraws a balancer that says it is not ready. */
+            while (GbHttp_Get(run->environment.balancers[0].http_port,
+                              "/readyz", NULL) != HTTP_UNAVAILABLE) {
+                continue_calls(run, 0, WAIT_MS);
+            }
+            use_balancers(run, false);
+            run->environment.balancers[0].is_leaving = true;
+        }
+        else {
+            continue_calls(run, 0, WITHDRAW_MS);
+            pack_host->agent.is_leaving = true;
+        }
+        GbEnvironment_PublishInstances(&run->environment);
+        break;
+    case EVENT_MALFORMED:
+        send_malformed(run, pack_host);
+        break;
+    }
+}
+
+static void
+wait_all_ended(struct Run *run)
+{
+    int64_t started_ms = now_ms(run);
+
+    while (run->open_checks > 0 || run->outcomes->pdata[PACK_TAG] == NULL) {
+        g_assert_cmpint(now_ms(run) - started_ms, <, STEP_TIMEOUT_MS);
+        take_outcome(run, WAIT_MS);
+    }
+}
+
+static void
+check_pack(const struct Run *run)
+{
+    const struct GbCallOutcome *outcome = run->outcomes->pdata[PACK_TAG];
+    uint8_t *expected = g_malloc(PACK_BYTES);
+
+    GbPackBytes_Fill(PACK_KEY, 0, expected, PACK_BYTES);
+    g_assert_cmpint(outcome->result.outcome, ==, GB_OUTCOME_ANSWERED);
+    g_assert_cmpmem(outcome->result.answer.data,
+                    outcome->result.answer.size_bytes, expected, PACK_BYTES);
+    g_free(expected);
+}
+
+static void
+check_check(const struct GbCallOutcome *outcome, const char *key,
+            uint32_t runs)
+{
+    char *expected = g_strdup_printf("check %s", key);
+
+    g_assert_cmpuint(runs, <=, 1);
+    if (outcome->result.outcome == GB_OUTCOME_NOT_RUN) {
+        g_assert_cmpuint(runs, ==, 0);
+    }
+    if (outcome->result.outcome == GB_OUTCOME_ANSWERED) {
+        g_assert_cmpuint(runs, ==, 1);
+        g_assert_cmpmem(outcome->result.answer.data,
+                        outcome->result.answer.size_bytes, expected,
+                        strlen(expected));
+    }
+    g_free(expected);
+}
+
+static void
+report_outcome(const struct GbCallOutcome *outcome, const char *key)
+{
+    const struct GbResult *result = &outcome->result;
+
+    if (result->outcome == GB_OUTCOME_NOT_RUN) {
+        g_test_message("%s not run: %s, %u submissions", key,
+                       GbMessage_NotRunName(result->not_run),
+                       result->submissions);
+    }
+    else if (result->outcome == GB_OUTCOME_UNKNOWN) {
+        g_test_message("%s unknown: %s, %u submissions", key,
+                       GbMessage_UnknownName(result->unknown),
+                       result->submissions);
+    }
+}
+
+static void
+check_outcomes(const struct Run *run)
+{
+    struct GbRunLog log;
+
+    GbRunLog_Init(&log);
+    for (uint32_t i = 0; i < run->environment.host_count; i++) {
+        GbRunLog_Add(&log, run->environment.hosts[i].target);
+    }
+    for (guint tag = 1; tag < run->outcomes->len; tag++) {
+        char *key = key_of(tag);
+
+        report_outcome(run->outcomes->pdata[tag], key);
+        check_check(run->outcomes->pdata[tag], key, GbRunLog_Runs(&log, key));
+        g_free(key);
+    }
+    GbRunLog_Finish(&log);
+    check_pack(run);
+    g_assert_cmpuint(run->unknown, <=, run->row->unknown_max);
+    g_assert_cmpuint(run->not_run, <=, run->row->not_run_max);
+}
+
+static void
+report_exit(const struct GbProcess *process)
+{
+    char *output = GbProcess_Output(process);
+
+    g_test_message("%s ended with code %d:\n%s", process->name,
+                   GbProcess_ExitCode(process), output);
+    g_free(output);
+}
+
+/* Guards, with real processes, against requests that run twice, false "not
+ * run", answers that are not whole, planned stops that cut work, and calls
+ * that never end, while one part of the system fails or leaves. */
+static void
+test_run(gconstpointer context)
+{
+    static struct Run run;
+    struct GbProcess *victim;
+    struct GbHost *pack_host;
+
+    memset(&run, 0, sizeof(run));
+    run.row = context;
+    start(&run);
+    call(&run, "pack", PACK_KEY, PACK_TAG, false);
+    pack_host = wait_pack_host(&run);
+    open_session_at(&run, pack_host);
+    continue_calls(&run, ANSWERS_BEFORE, 0);
+    victim = victim_process(&run, pack_host);
+    g_assert_null(run.outcomes->pdata[PACK_TAG]);
+    cause_event(&run, pack_host);
+    continue_calls(&run, ANSWERS_AFTER, 0);
+    wait_all_ended(&run);
+    if (run.row->event == EVENT_STOP) {
+        g_assert_true(GbProcess_WaitExit(victim, EXIT_TIMEOUT_MS));
+        report_exit(victim);
+        g_assert_cmpint(GbProcess_ExitCode(victim), ==, 0);
+    }
+    if (run.row->event == EVENT_PAUSE || run.row->event == EVENT_MALFORMED) {
+        for (guint i = 0; i < run.environment.group.processes->len; i++) {
+            g_assert_false(GbProcess_WaitExit(
+                run.environment.group.processes->pdata[i], 0));
+        }
+    }
+    check_outcomes(&run);
+    g_test_message("answered=%u not_run=%u unknown=%u", run.answered,
+                   run.not_run, run.unknown);
+    finish(&run);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_assert_cmpint(sodium_init(), >=, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
+        char *path = g_strdup_printf("/processes/%s", run_cases[i].name);
+
+        g_test_add_data_func(path, &run_cases[i], test_run);
+        g_free(path);
+    }
+    return g_test_run();
+}
