Move what both daemons share into one module

The mains of balancer and agent each repeated settings, keys, log, signals, and the start and stop of tasks. GbDaemon has them now, and a main keeps its own settings and tasks.

Settings gain lists of addresses and choices.

--- /dev/null
+++ b/src/transport/daemon.h
@@ -0,0 +1,80 @@
+#ifndef GB_TRANSPORT_DAEMON_H
+#define GB_TRANSPORT_DAEMON_H
+
+#include "protocol/keys.h"
+#include "transport/control_task.h"
+#include "transport/settings.h"
+
+/* Settings that balancers and agents share; first member of the settings of
+ * either. */
+struct GbDaemonSettings {
+    char instance[GB_SETTING_TEXT_BYTES];
+    char data_centre[GB_SETTING_TEXT_BYTES];
+    struct GbAddress listen;
+    struct GbAddress http_listen;
+    struct GbAddress platform;
+    uint8_t key[GB_KEY_BYTES];
+    uint8_t previous_key[GB_KEY_BYTES];
+    /* Belongs to the table of each program: their defaults differ. */
+    int64_t stop_limit_ms;
+    char log_level[GB_SETTING_TEXT_BYTES];
+};
+
+/* What one program adds. */
+struct GbDaemonProgram {
+    const char *name;
+    enum GbRole role;
+    const struct GbSetting *settings;
+    size_t setting_count;
+};
+
+/* Common part of balancers and agents: settings, keys, log, signals, the
+ * control task, and start and stop of all tasks. */
+struct GbDaemon {
+    const struct GbDaemonProgram *program;
+    const struct GbDaemonSettings *settings;
+    struct GbSystemClock clock;
+    struct GbKeys keys;
+    struct GbControlTask control;
+    /* Opened and started in this order, stopped in reverse. */
+    struct GbTask *tasks[GB_DATA_TASKS_MAX + 2];
+    uint32_t task_count;
+    /* Opened so far. */
+    uint32_t open_count;
+    GAsyncQueue *done;
+};
+
+/* Reads the settings into values, whose first member is a struct
+ * GbDaemonSettings, and starts log and signal handling.
+ *
+ * Errors: GB_TRANSPORT_INFORMATION after help or version;
+ * GB_TRANSPORT_INVALID_SETTING after a line for each wrong setting. */
+enum GbTransportStatus GbDaemon_Init(struct GbDaemon *self,
+                                     const struct GbDaemonProgram *program,
+                                     int argc, char **argv, void *values);
+
+/* Prepares the control task, which becomes the first task. quiet_us counts
+ * for balancers only. */
+void GbDaemon_InitControl(struct GbDaemon *self, int64_t quiet_us);
+
+/* Adds a task. A data task gets views and reports to the control task. */
+void GbDaemon_AddTask(struct GbDaemon *self, struct GbTask *task,
+                      bool is_data_task);
+
+/* Opens the tasks that were added since the last call.
+ *
+ * Errors: GB_TRANSPORT_SYSTEM, which is logged. */
+enum GbTransportStatus GbDaemon_OpenTasks(struct GbDaemon *self);
+
+/* Starts the tasks, waits for a signal to stop, drains and stops them. listen
+ * is the address that was bound. Returns the exit code. */
+int GbDaemon_Run(struct GbDaemon *self, const struct GbAddress *listen);
+
+/* Stops what was opened. Also to be called after errors other than those of
+ * GbDaemon_Init. */
+void GbDaemon_Finish(struct GbDaemon *self);
+
+/* Exit code that goes with the status of GbDaemon_Init. */
+int GbDaemon_ExitCode(enum GbTransportStatus status);
+
+#endif
--- a/src/transport/settings.c
+++ b/src/transport/settings.c
@@ -13,6 +13,8 @@
 
 #define VARIABLE_BYTES 64
 #define ERRORS_MAX 16
+#define LIST_SEPARATOR ","
+#define CHOICE_SEPARATOR ", "
 
 static bool
 set_number(const struct GbSetting *setting, const char *text, int64_t *value)
@@ -30,6 +32,34 @@
     return true;
 }
 
+static bool
+set_addresses(const char *text, struct GbAddressList *list)
+{
+    gchar **parts = g_strsplit(text, LIST_SEPARATOR, -1);
+    guint count = g_strv_length(parts);
+    bool is_valid = count > 0 && count <= GB_SETTING_ADDRESSES_MAX;
+
+    for (guint i = 0; is_valid && i < count; i++) {
+        is_valid = GbAddress_Parse(&list->items[i], g_strstrip(parts[i]));
+    }
+    list->count = is_valid ? count : 0;
+    g_strfreev(parts);
+    return is_valid;
+}
+
+static bool
+set_choice(const struct GbSetting *setting, const char *text, char *value)
+{
+    gchar **choices = g_strsplit(setting->unit, CHOICE_SEPARATOR, -1);
+    bool is_valid = g_strv_contains((const gchar *const *)choices, text);
+
+    if (is_valid) {
+        g_strlcpy(value, text, GB_SETTING_TEXT_BYTES);
+    }
+    g_strfreev(choices);
+    return is_valid;
+}
+
 static bool
 set_value(const struct GbSetting *setting, const char *text, void *values)
 {
@@ -45,6 +75,10 @@
         return text[0] == '\0' || GbAddress_Parse(value, text);
     case GB_SETTING_KEY:
         return text[0] == '\0' || GbKeys_ParseHex(value, text);
+    case GB_SETTING_ADDRESSES:
+        return set_addresses(text, value);
+    case GB_SETTING_CHOICE:
+        return set_choice(setting, text, value);
     }
     return false;
 }
@@ -70,8 +104,10 @@
                 setting->unit);
     }
     else {
-        fprintf(errors, "%s: setting %s is \"%s\", must be %s\n", program,
-                setting->name, text, setting->unit);
+        fprintf(errors, "%s: setting %s is \"%s\", must be %s%s\n", program,
+                setting->name, text,
+                setting->kind == GB_SETTING_CHOICE ? "one of " : "",
+                setting->unit);
     }
 }
 
@@ -98,6 +134,10 @@
     for (size_t i = 0; i < count; i++) {
         const char *text = text_of(&settings[i], flags[i]);
 
+        if (text != NULL && text[0] == '\0' && settings[i].fallback == NULL) {
+            /* Set, but to nothing. */
+            text = NULL;
+        }
         if (text == NULL || !set_value(&settings[i], text, values)) {
             report(&settings[i], program, text, errors);
             status = GB_TRANSPORT_INVALID_SETTING;
@@ -106,6 +146,55 @@
     return status;
 }
 
+/* The word at fault. argtable names an empty value itself, not its flag. */
+static const char *
+word_of(const char *argval, int argc, char **argv)
+{
+    for (int i = 1; argval != NULL && argval[0] == '\0' && i < argc; i++) {
+        if (argv[i][0] == '\0') {
+            return argv[i - 1];
+        }
+    }
+    return argval != NULL ? argval : "";
+}
+
+/* One line for each word of the command line that can't be read. */
+static void
+report_words(const struct arg_end *end, const char *program, int argc,
+             char **argv, FILE *errors)
+{
+    bool has_unknown_flag = false;
+
+    for (int i = 0; i < end->count; i++) {
+        const struct arg_hdr *flag = end->parent[i];
+        const char *word = word_of(end->argval[i], argc, argv);
+
+        if (flag != &end->hdr) {
+            fprintf(errors, "%s: flag --%s must be given once\n", program,
+                    flag->longopts);
+            continue;
+        }
+        switch (end->error[i]) {
+        case ARG_EMISSARG:
+            fprintf(errors, "%s: flag %s must have a value\n", program, word);
+            break;
+        case ARG_ELONGOPT:
+            has_unknown_flag = true;
+            fprintf(errors, "%s: there is no flag %s, see --help\n", program,
+                    word);
+            break;
+        default:
+            /* What follows an unknown flag is probably its value. */
+            if (!has_unknown_flag) {
+                fprintf(errors,
+                        "%s: \"%s\" must be a flag such as --name VALUE\n",
+                        program, word);
+            }
+            break;
+        }
+    }
+}
+
 static void
 print_help(const struct GbSetting *settings, size_t count, const char *program)
 {
@@ -151,7 +240,7 @@
     flags[count + 2] = end;
     if (arg_parse(argc, argv, flags) > 0 && help->count == 0 &&
         version->count == 0) {
-        arg_print_errors(errors, end, program);
+        report_words(end, program, argc, argv, errors);
         status = GB_TRANSPORT_INVALID_SETTING;
     }
     else if (help->count > 0) {
--- a/src/transport/settings.h
+++ b/src/transport/settings.h
@@ -6,10 +6,12 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "state/address.h"
 #include "state/last_message.h"
 #include "transport/status.h"
 
 #define GB_SETTING_TEXT_BYTES 256
+#define GB_SETTING_ADDRESSES_MAX 64
 
 enum GbSettingKind {
     /* char[GB_SETTING_TEXT_BYTES] */
@@ -19,7 +21,17 @@
     /* struct GbAddress */
     GB_SETTING_ADDRESS,
     /* uint8_t[GB_KEY_BYTES], 32 hexadecimal digits */
-    GB_SETTING_KEY
+    GB_SETTING_KEY,
+    /* struct GbAddressList, separated by commas */
+    GB_SETTING_ADDRESSES,
+    /* char[GB_SETTING_TEXT_BYTES], one of the words that unit lists with
+     * ", " between them */
+    GB_SETTING_CHOICE
+};
+
+struct GbAddressList {
+    struct GbAddress items[GB_SETTING_ADDRESSES_MAX];
+    uint32_t count;
 };
 
 /* One setting of a program. The tables of settings drive flags, environment
