--- a/tests/support/environment.c
+++ b/tests/support/environment.c
@@ -171,7 +171,8 @@
     self->document_path = GbProcessGroup_Path(&self->group, "document.json");
     self->instances_path = GbProcessGroup_Path(&self->group, "instances.json");
     GbEnvironment_PublishDocument(self);
-    GbEnvironment_PublishInstances(self);
+    /* There is no instance list until the addresses are known. A process that
+     * is ready then knows every other. */
     start_platform(self);
     for (uint32_t pool = 0; pool < config->pool_count; pool++) {
         for (uint32_t i = 0; i < config->pools[pool].hosts; i++) {
