Add the load command and polish the call command

Operators had no way to try a service under load. guavabend load makes calls at a rate or a concurrency, bounded by time and count, over a mix of operations and a share of new sessions, and reports outcomes with reasons, submissions a call, and p50, p99 and p99.9 of the time since a call was due.

guavabend call writes to a file, repeats in one session, ends on SIGINT and SIGTERM, and says in one line what is wrong. Both exit with 0 for answers (a load: for any answer), 1 for a failure and 2 for wrong settings.

--- a/src/programs/command.h
+++ b/src/programs/command.h
@@ -12,6 +12,7 @@
 };
 
 int GbCommand_Call(int argc, char **argv);
+int GbCommand_Load(int argc, char **argv);
 
 /* Reads and checks a document. Errors go to standard error; NULL if there are
  * any. */
--- a/src/programs/command_call.c
+++ b/src/programs/command_call.c
@@ -1,142 +1,145 @@
+#include <errno.h>
 #include <inttypes.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "programs/command.h"
-#include "transport/caller_task.h"
+#include "programs/command_caller.h"
 #include "transport/process.h"
-#include "transport/settings.h"
 
 #define PROGRAM "guavabend call"
-#define OUTCOME_TIMEOUT_MS 600000
-#define ADDRESS_SEPARATOR ","
+/* Every call has an outcome by its deadline and the time of its transfer; this
+ * only bounds what the command would wait for a fault. */
+#define OUTCOME_TIMEOUT_MS 90000000
 
-struct CallSettings {
-    char document[GB_SETTING_TEXT_BYTES];
-    char balancers[GB_SETTING_TEXT_BYTES];
-    char service[GB_SETTING_TEXT_BYTES];
+struct Settings {
+    struct GbCommandCallerSettings super;
     char operation[GB_SETTING_TEXT_BYTES];
     char body[GB_SETTING_TEXT_BYTES];
+    char output[GB_SETTING_TEXT_BYTES];
+    int64_t repeat;
 };
 
-static const struct GbSetting call_table[] = {
-    {"document", GB_SETTING_TEXT, offsetof(struct CallSettings, document),
-     NULL, 0, 0, "file", "Environment document."},
-    {"balancers", GB_SETTING_TEXT, offsetof(struct CallSettings, balancers),
-     NULL, 0, 0, "ipv4:port,...", "Balancers to send through."},
-    {"service", GB_SETTING_TEXT, offsetof(struct CallSettings, service), NULL,
-     0, 0, "name", "Service to call."},
-    {"operation", GB_SETTING_TEXT, offsetof(struct CallSettings, operation),
-     NULL, 0, 0, "name", "Operation to call."},
-    {"body", GB_SETTING_TEXT, offsetof(struct CallSettings, body), "", 0, 0,
+static const struct GbSetting settings_table[] = {
+    GB_COMMAND_CALLER_SETTINGS,
+    {"operation", GB_SETTING_TEXT, offsetof(struct Settings, operation), NULL,
+     0, 0, "name", "Operation to call."},
+    {"body", GB_SETTING_TEXT, offsetof(struct Settings, body), "", 0, 0,
      "text", "Body of the request."},
+    {"output", GB_SETTING_TEXT, offsetof(struct Settings, output), "", 0, 0,
+     "file", "File for the answers; standard output if left out."},
+    {"repeat", GB_SETTING_NUMBER, offsetof(struct Settings, repeat), "1", 1,
+     1000000, "calls", "Calls to make one after the other, in one session."},
 };
 
-static bool
-add_balancers(struct GbCallerTask *task, const char *text)
-{
-    gchar **parts = g_strsplit(text, ADDRESS_SEPARATOR, -1);
-    bool is_valid = parts[0] != NULL;
-
-    for (gchar **part = parts; is_valid && *part != NULL; part++) {
-        struct GbAddress address;
-
-        is_valid = GbAddress_Parse(&address, *part) &&
-                   GbCallerTask_AddBalancer(task, &address);
-    }
-    g_strfreev(parts);
-    return is_valid;
-}
-
+/* Prints the outcome and writes the answer. Returns an exit code. */
 static int
-print_outcome(const struct GbCallOutcome *outcome)
+report(const struct GbResult *result, FILE *output)
 {
-    const struct GbResult *result = &outcome->result;
-
     switch (result->outcome) {
     case GB_OUTCOME_ANSWERED:
-        fprintf(stderr, "answered status=%u bytes=%u elapsed_us=%" PRIi64 "\n",
+        fprintf(stderr,
+                "outcome=answered status=%u bytes=%u elapsed_us=%" PRIi64
+                " submissions=%u\n",
                 result->target_status, result->answer.size_bytes,
-                result->elapsed_us);
-        fwrite(result->answer.data, 1, result->answer.size_bytes, stdout);
+                result->elapsed_us, result->submissions);
+        if (fwrite(result->answer.data, 1, result->answer.size_bytes,
+                   output) != result->answer.size_bytes) {
+            fprintf(stderr, "%s: cannot write the answer: %s\n", PROGRAM,
+                    strerror(errno));
+            return GB_EXIT_FAILED;
+        }
         return GB_EXIT_DONE;
     case GB_OUTCOME_NOT_RUN:
-        fprintf(stderr, "not run reason=%s\n",
-                GbMessage_NotRunName(result->not_run));
-        return GB_EXIT_FAILED;
     default:
-        fprintf(stderr, "unknown reason=%s\n",
-                GbMessage_UnknownName(result->unknown));
+        fprintf(stderr,
+                "outcome=%s reason=%s elapsed_us=%" PRIi64 " submissions=%u\n",
+                result->outcome == GB_OUTCOME_NOT_RUN ? "not_run" : "unknown",
+                GbCommandCaller_Reason(result), result->elapsed_us,
+                result->submissions);
         return GB_EXIT_FAILED;
     }
 }
 
 static int
-call(const struct CallSettings *settings, struct GbDocument *document)
+call_repeatedly(struct GbCommandCaller *caller,
+                const struct Settings *settings, FILE *output)
 {
-    static struct GbCallerTask task;
-    struct GbSystemClock clock;
-    struct GbLastMessage last;
-    const struct GbService *service =
-        GbDocument_ServiceByName(document, settings->service);
     const struct GbOperation *operation =
-        service != NULL
-            ? GbService_OperationByName(service, settings->operation)
-            : NULL;
+        GbCommandCaller_Operation(caller, settings->operation);
     struct GbBytes body = {(const uint8_t *)settings->body,
                            (uint32_t)strlen(settings->body)};
-    struct GbCallOutcome *outcome;
-    int code;
+    uint64_t session;
+    bool is_stopped = false;
+    int code = GB_EXIT_DONE;
 
     if (operation == NULL) {
-        fprintf(stderr, "%s: the document has no operation %s of service %s\n",
-                PROGRAM, settings->operation, settings->service);
-        return GB_EXIT_USAGE;
-    }
-    GbSystemClock_Init(&clock);
-    GbCallerTask_Init(&task, document, service, &clock.super);
-    if (!add_balancers(&task, settings->balancers)) {
-        fprintf(stderr, "%s: setting balancers must be ipv4:port,...\n",
-                PROGRAM);
         return GB_EXIT_USAGE;
     }
-    if (GbTask_Open(&task.super, &last) != GB_TRANSPORT_OK ||
-        GbTask_Start(&task.super, &last) != GB_TRANSPORT_OK) {
-        fprintf(stderr, "%s: %s\n", PROGRAM, last.text);
+    if (GbCallerTask_OpenSession(&caller->task, &session) != GB_TRANSPORT_OK) {
         return GB_EXIT_FAILED;
     }
-    GbCallerTask_Call(&task, 0, operation, body);
-    outcome = GbCallerTask_WaitOutcome(&task, OUTCOME_TIMEOUT_MS);
-    if (outcome == NULL) {
-        fprintf(stderr, "%s: no outcome\n", PROGRAM);
-        return GB_EXIT_FAILED;
+    for (int64_t i = 0; i < settings->repeat; i++) {
+        struct GbCallOutcome *outcome;
+
+        GbCallerTask_CallInSession(&caller->task, session, 0, operation, body);
+        outcome =
+            GbCommandCaller_Wait(caller, OUTCOME_TIMEOUT_MS, &is_stopped);
+        if (outcome == NULL) {
+            fprintf(stderr, "%s: %s\n", PROGRAM,
+                    is_stopped ? "stopped by a signal" : "no outcome");
+            return GB_EXIT_FAILED;
+        }
+        if (report(&outcome->result, output) != GB_EXIT_DONE) {
+            code = GB_EXIT_FAILED;
+        }
+        GbCallOutcome_Free(outcome);
+    }
+    GbCallerTask_CloseSession(&caller->task, session);
+    return code;
+}
+
+static int
+call(const struct Settings *settings, FILE *output)
+{
+    static struct GbCommandCaller caller;
+    int code = GbCommandCaller_Open(&caller, PROGRAM, &settings->super);
+
+    if (code == GB_EXIT_DONE) {
+        code = call_repeatedly(&caller, settings, output);
+        GbCommandCaller_Close(&caller);
     }
-    code = print_outcome(outcome);
-    GbCallOutcome_Free(outcome);
-    GbTask_Stop(&task.super);
     return code;
 }
 
 int
 GbCommand_Call(int argc, char **argv)
 {
-    struct CallSettings settings = {0};
-    struct GbDocument *document;
+    struct Settings settings = {0};
     enum GbTransportStatus status =
-        GbSettings_Load(call_table, G_N_ELEMENTS(call_table), PROGRAM, argc,
-                        argv, &settings, stderr);
+        GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
+                        argc, argv, &settings, stderr);
+    FILE *output = stdout;
     int code;
 
     if (status != GB_TRANSPORT_OK) {
         return status == GB_TRANSPORT_INFORMATION ? GB_EXIT_DONE
                                                   : GB_EXIT_USAGE;
     }
-    document = GbCommand_ReadDocument(PROGRAM, settings.document);
-    if (document == NULL) {
-        return GB_EXIT_FAILED;
+    if (settings.output[0] != '\0') {
+        output = fopen(settings.output, "wb");
+        if (output == NULL) {
+            fprintf(stderr, "%s: setting output is \"%s\": %s\n", PROGRAM,
+                    settings.output, strerror(errno));
+            return GB_EXIT_FAILED;
+        }
+    }
+    code = call(&settings, output);
+    if (fflush(output) != 0 || (output != stdout && fclose(output) != 0)) {
+        fprintf(stderr, "%s: cannot write the answer: %s\n", PROGRAM,
+                strerror(errno));
+        code = GB_EXIT_FAILED;
     }
-    code = call(&settings, document);
-    GbDocument_Unref(document);
     return code;
 }
--- /dev/null
+++ b/src/programs/command_caller.c
@@ -0,0 +1,97 @@
+#include "programs/command_caller.h"
+
+#include <stdio.h>
+
+#include "programs/command.h"
+#include "transport/process.h"
+
+/* Time after which a wait looks for signals. */
+#define STOP_CHECK_MS 100
+
+int
+GbCommandCaller_Open(struct GbCommandCaller *self, const char *program,
+                     const struct GbCommandCallerSettings *settings)
+{
+    struct GbLastMessage last;
+
+    self->program = program;
+    self->document = GbCommand_ReadDocument(program, settings->document);
+    if (self->document == NULL) {
+        return GB_EXIT_FAILED;
+    }
+    self->service =
+        GbDocument_ServiceByName(self->document, settings->service);
+    if (self->service == NULL) {
+        fprintf(stderr,
+                "%s: setting service is \"%s\", must be a service of the "
+                "document\n",
+                program, settings->service);
+        GbDocument_Unref(self->document);
+        return GB_EXIT_USAGE;
+    }
+    GbSystemClock_Init(&self->clock);
+    GbCallerTask_Init(&self->task, self->document, self->service,
+                      &self->clock.super);
+    for (uint32_t i = 0; i < settings->balancers.count; i++) {
+        GbCallerTask_AddBalancer(&self->task, &settings->balancers.items[i]);
+    }
+    if (GbTask_Open(&self->task.super, &last) != GB_TRANSPORT_OK ||
+        GbTask_Start(&self->task.super, &last) != GB_TRANSPORT_OK) {
+        fprintf(stderr, "%s: %s\n", program, last.text);
+        GbCommandCaller_Close(self);
+        return GB_EXIT_FAILED;
+    }
+    return GB_EXIT_DONE;
+}
+
+const struct GbOperation *
+GbCommandCaller_Operation(const struct GbCommandCaller *self, const char *name)
+{
+    const struct GbOperation *operation =
+        GbService_OperationByName(self->service, name);
+
+    if (operation == NULL) {
+        fprintf(stderr,
+                "%s: there is no operation \"%s\" of service %s in the "
+                "document\n",
+                self->program, name, self->service->name);
+    }
+    return operation;
+}
+
+struct GbCallOutcome *
+GbCommandCaller_Wait(struct GbCommandCaller *self, uint32_t timeout_ms,
+                     bool *is_stopped)
+{
+    struct GbCallOutcome *outcome = NULL;
+    uint32_t waited_ms = 0;
+
+    while (outcome == NULL && waited_ms < timeout_ms &&
+           !(*is_stopped = GbProcess_IsStopAsked())) {
+        uint32_t step_ms = MIN(timeout_ms - waited_ms, STOP_CHECK_MS);
+
+        outcome = GbCallerTask_WaitOutcome(&self->task, step_ms);
+        waited_ms += step_ms;
+    }
+    return outcome;
+}
+
+void
+GbCommandCaller_Close(struct GbCommandCaller *self)
+{
+    GbTask_Stop(&self->task.super);
+    GbDocument_Unref(self->document);
+}
+
+const char *
+GbCommandCaller_Reason(const struct GbResult *result)
+{
+    static const char no_reply[] = "NO_REPLY";
+
+    if (result->outcome == GB_OUTCOME_NOT_RUN) {
+        return result->not_run != 0 ? GbMessage_NotRunName(result->not_run)
+                                    : no_reply;
+    }
+    return result->unknown != 0 ? GbMessage_UnknownName(result->unknown)
+                                : no_reply;
+}
--- /dev/null
+++ b/src/programs/command_load.c
@@ -0,0 +1,308 @@
+#include <inttypes.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "programs/command.h"
+#include "programs/command_caller.h"
+#include "programs/command_load_report.h"
+#include "transport/process.h"
+
+#define PROGRAM "guavabend load"
+#define US_PER_MS 1000
+#define US_PER_SECOND INT64_C(1000000)
+#define PERCENT 100
+#define COUNT_MAX 10000000
+#define OUTSTANDING_MAX 65536
+#define SESSIONS_MAX 65536
+#define WEIGHT_MAX 1000000
+#define NUMBER_BASE 10
+/* Longest wait between two looks at the time. */
+#define WAIT_MS 50
+
+struct Settings {
+    struct GbCommandCallerSettings super;
+    char operations[GB_SETTING_TEXT_BYTES];
+    int64_t rate_per_s;
+    int64_t concurrency;
+    int64_t duration_ms;
+    int64_t count;
+    int64_t sessions;
+    int64_t new_session_percent;
+    char body[GB_SETTING_TEXT_BYTES];
+};
+
+static const struct GbSetting settings_table[] = {
+    GB_COMMAND_CALLER_SETTINGS,
+    {"operations", GB_SETTING_TEXT, offsetof(struct Settings, operations),
+     NULL, 0, 0, "name:weight,...", "Operations to call and their shares."},
+    {"rate-per-s", GB_SETTING_NUMBER, offsetof(struct Settings, rate_per_s),
+     "0", 0, 1000000, "calls per second",
+     "Rate of the calls; 0 makes the next when one has ended."},
+    {"concurrency", GB_SETTING_NUMBER, offsetof(struct Settings, concurrency),
+     "16", 1, OUTSTANDING_MAX, "calls",
+     "Most calls at once. Calls of the rate that are due wait for it."},
+    {"duration-ms", GB_SETTING_NUMBER, offsetof(struct Settings, duration_ms),
+     "10000", 1, 3600000, "ms", "No call is made after so long."},
+    {"count", GB_SETTING_NUMBER, offsetof(struct Settings, count), "1000000",
+     1, COUNT_MAX, "calls", "No more calls are made than this."},
+    {"sessions", GB_SETTING_NUMBER, offsetof(struct Settings, sessions), "16",
+     1, SESSIONS_MAX, "sessions", "Sessions that calls are spread over."},
+    {"new-session-percent", GB_SETTING_NUMBER,
+     offsetof(struct Settings, new_session_percent), "100", 0, PERCENT,
+     "percent", "Share of the calls that have a session of their own."},
+    {"body", GB_SETTING_TEXT, offsetof(struct Settings, body), "load", 0, 0,
+     "text", "Start of each body; the number of the call follows."},
+};
+
+/* Call that has no outcome yet. */
+struct OpenCall {
+    struct GbLoadOperation *operation;
+    int64_t late_us;
+};
+
+struct Load {
+    const struct Settings *settings;
+    struct GbCommandCaller caller;
+    struct GbSystemRandom random;
+    struct GbLoadReport report;
+    uint32_t weights;
+    GArray *sessions;
+    /* Struct OpenCall by tag. */
+    GHashTable *open_calls;
+    uint64_t made;
+    int64_t started_us;
+    bool is_stopped;
+};
+
+static int64_t
+now_us(struct Load *self)
+{
+    return GbClock_MonotonicUs(&self->caller.clock.super);
+}
+
+static bool
+add_operation(struct Load *self, const char *text)
+{
+    struct GbLoadOperation *entry =
+        &self->report.operations[self->report.operation_count];
+    gchar **parts = g_strsplit(text, ":", 2);
+    char *end = (char *)"";
+    uint64_t weight = 1;
+    bool is_valid;
+
+    if (parts[0] != NULL && parts[1] != NULL) {
+        weight = strtoull(parts[1], &end, NUMBER_BASE);
+    }
+    is_valid = parts[0] != NULL && *end == '\0' && weight > 0 &&
+               weight <= WEIGHT_MAX &&
+               self->report.operation_count < GB_LOAD_OPERATIONS_MAX;
+    if (!is_valid) {
+        fprintf(stderr,
+                "%s: setting operations has \"%s\", must be name:weight with "
+                "a weight from 1 to %d, at most %d times\n",
+                PROGRAM, text, WEIGHT_MAX, GB_LOAD_OPERATIONS_MAX);
+    }
+    else {
+        entry->operation = GbCommandCaller_Operation(&self->caller, parts[0]);
+        is_valid = entry->operation != NULL;
+    }
+    g_strfreev(parts);
+    if (!is_valid) {
+        return false;
+    }
+    entry->weight = (uint32_t)weight;
+    self->weights += entry->weight;
+    GbPercentiles_Init(&entry->times, COUNT_MAX);
+    self->report.operation_count++;
+    return true;
+}
+
+static bool
+add_operations(struct Load *self)
+{
+    gchar **list = g_strsplit(self->settings->operations, ",", -1);
+    bool is_valid = true;
+
+    for (gchar **text = list; is_valid && *text != NULL; text++) {
+        is_valid = add_operation(self, *text);
+    }
+    g_strfreev(list);
+    return is_valid;
+}
+
+static struct GbLoadOperation *
+choose_operation(struct Load *self)
+{
+    uint32_t at = GbRandom_Below(&self->random.super, self->weights);
+    struct GbLoadOperation *operation = self->report.operations;
+
+    while (at >= operation->weight) {
+        at -= operation->weight;
+        operation++;
+    }
+    return operation;
+}
+
+static void
+make_call(struct Load *self, int64_t late_us)
+{
+    struct GbLoadOperation *operation = choose_operation(self);
+    struct OpenCall *call = g_new0(struct OpenCall, 1);
+    uint64_t tag = ++self->made;
+    char *text = g_strdup_printf("%s-%" PRIu64, self->settings->body, tag);
+    struct GbBytes body = {(const uint8_t *)text, (uint32_t)strlen(text)};
+    bool is_new = GbRandom_Below(&self->random.super, PERCENT) <
+                  self->settings->new_session_percent;
+
+    call->operation = operation;
+    call->late_us = late_us;
+    g_hash_table_insert(self->open_calls, g_memdup2(&tag, sizeof(tag)), call);
+    operation->calls++;
+    if (is_new) {
+        GbCallerTask_Call(&self->caller.task, tag, operation->operation, body);
+    }
+    else {
+        uint32_t at = GbRandom_Below(&self->random.super, self->sessions->len);
+
+        GbCallerTask_CallInSession(&self->caller.task,
+                                   g_array_index(self->sessions, uint64_t, at),
+                                   tag, operation->operation, body);
+    }
+    g_free(text);
+}
+
+static bool
+may_call(struct Load *self, int64_t elapsed_us)
+{
+    return !self->is_stopped &&
+           elapsed_us < self->settings->duration_ms * US_PER_MS &&
+           self->made < (uint64_t)self->settings->count;
+}
+
+/* Time after the start at which the next call is due. */
+static int64_t
+due_us(const struct Load *self)
+{
+    return self->settings->rate_per_s > 0
+               ? (int64_t)self->made * US_PER_SECOND /
+                     self->settings->rate_per_s
+               : 0;
+}
+
+/* Makes the calls that are due. Returns the time until the next, in ms. */
+static uint32_t
+make_due_calls(struct Load *self)
+{
+    int64_t elapsed_us = now_us(self) - self->started_us;
+
+    while (may_call(self, elapsed_us)) {
+        int64_t late_us = elapsed_us - due_us(self);
+
+        if (late_us < 0) {
+            return (uint32_t)MIN(-late_us / US_PER_MS + 1, WAIT_MS);
+        }
+        if (self->caller.task.outstanding >= self->settings->concurrency) {
+            break;
+        }
+        if (self->settings->rate_per_s == 0) {
+            late_us = 0;
+        }
+        else if (late_us > WAIT_MS * US_PER_MS) {
+            self->report.delayed++;
+        }
+        make_call(self, late_us);
+        elapsed_us = now_us(self) - self->started_us;
+    }
+    return WAIT_MS;
+}
+
+static void
+take_outcomes(struct Load *self, uint32_t timeout_ms)
+{
+    struct GbCallOutcome *outcome =
+        GbCallerTask_WaitOutcome(&self->caller.task, timeout_ms);
+
+    while (outcome != NULL) {
+        const struct OpenCall *call =
+            g_hash_table_lookup(self->open_calls, &outcome->tag);
+
+        GbLoadReport_Count(call->operation, &outcome->result, call->late_us);
+        g_hash_table_remove(self->open_calls, &outcome->tag);
+        GbCallOutcome_Free(outcome);
+        outcome = GbCallerTask_WaitOutcome(&self->caller.task, 0);
+    }
+}
+
+/* Runs until the limits are reached and every call has its outcome. */
+static void
+run(struct Load *self)
+{
+    self->started_us = now_us(self);
+    do {
+        take_outcomes(self, make_due_calls(self));
+        self->is_stopped = self->is_stopped || GbProcess_IsStopAsked();
+    } while (may_call(self, now_us(self) - self->started_us) ||
+             self->caller.task.outstanding > 0);
+    self->report.duration_us = now_us(self) - self->started_us;
+}
+
+static int
+load(struct Load *self)
+{
+    if (!add_operations(self)) {
+        return GB_EXIT_USAGE;
+    }
+    for (int64_t i = 0; i < self->settings->sessions; i++) {
+        uint64_t session;
+
+        if (GbCallerTask_OpenSession(&self->caller.task, &session) ==
+            GB_TRANSPORT_OK) {
+            g_array_append_val(self->sessions, session);
+        }
+    }
+    run(self);
+    for (guint i = 0; i < self->sessions->len; i++) {
+        GbCallerTask_CloseSession(&self->caller.task,
+                                  g_array_index(self->sessions, uint64_t, i));
+    }
+    GbLoadReport_Write(&self->report, stdout);
+    if (!GbLoadReport_HasAnswers(&self->report)) {
+        fprintf(stderr, "%s: no call was answered\n", PROGRAM);
+        return GB_EXIT_FAILED;
+    }
+    return GB_EXIT_DONE;
+}
+
+int
+GbCommand_Load(int argc, char **argv)
+{
+    static struct Load self;
+    struct Settings settings = {0};
+    enum GbTransportStatus status =
+        GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
+                        argc, argv, &settings, stderr);
+    int code;
+
+    if (status != GB_TRANSPORT_OK) {
+        return status == GB_TRANSPORT_INFORMATION ? GB_EXIT_DONE
+                                                  : GB_EXIT_USAGE;
+    }
+    self.settings = &settings;
+    code = GbCommandCaller_Open(&self.caller, PROGRAM, &settings.super);
+    if (code != GB_EXIT_DONE) {
+        return code;
+    }
+    GbSystemRandom_Init(&self.random);
+    GbCallerTask_SetLimits(&self.caller.task, OUTSTANDING_MAX, SESSIONS_MAX);
+    self.sessions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    self.open_calls =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    code = load(&self);
+    GbLoadReport_Finish(&self.report);
+    g_hash_table_destroy(self.open_calls);
+    g_array_unref(self.sessions);
+    GbCommandCaller_Close(&self.caller);
+    return code;
+}
--- /dev/null
+++ b/src/programs/command_load_report.c
@@ -0,0 +1,148 @@
+#include "programs/command_load_report.h"
+
+#include <inttypes.h>
+
+#include "programs/command_caller.h"
+
+#define US_PER_SECOND 1000000
+#define P50 500
+#define P99 990
+#define P999 999
+#define ALL 1000
+
+static uint64_t
+sum(const uint64_t *values, size_t count)
+{
+    uint64_t total = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        total += values[i];
+    }
+    return total;
+}
+
+static uint64_t
+not_run_of(const struct GbLoadOperation *operation)
+{
+    return sum(operation->not_run, GB_NOT_RUN_REASON_END);
+}
+
+static uint64_t
+unknown_of(const struct GbLoadOperation *operation)
+{
+    return sum(operation->unknown, GB_UNKNOWN_REASON_END);
+}
+
+static double
+per(uint64_t amount, uint64_t count)
+{
+    return count > 0 ? (double)amount / (double)count : 0;
+}
+
+static void
+write_operation(struct GbLoadOperation *self, FILE *out)
+{
+    const char *name = self->operation->name;
+
+    fprintf(out,
+            "operation=%s calls=%" PRIu64 " answered=%" PRIu64
+            " not_run=%" PRIu64 " unknown=%" PRIu64 " answer_bytes=%" PRIu64
+            " submissions_per_call=%.3f p50_us=%" PRIi64 " p99_us=%" PRIi64
+            " p999_us=%" PRIi64 " max_us=%" PRIi64 "\n",
+            name, self->calls, self->answered, not_run_of(self),
+            unknown_of(self), self->answer_bytes,
+            per(self->submissions, self->calls),
+            GbPercentiles_At(&self->times, P50),
+            GbPercentiles_At(&self->times, P99),
+            GbPercentiles_At(&self->times, P999),
+            GbPercentiles_At(&self->times, ALL));
+    for (int i = 0; i < GB_NOT_RUN_REASON_END; i++) {
+        struct GbResult result = {.outcome = GB_OUTCOME_NOT_RUN};
+
+        result.not_run = (enum GbNotRunReason)i;
+        if (self->not_run[i] > 0) {
+            fprintf(out, "operation=%s not_run=%" PRIu64 " reason=%s\n", name,
+                    self->not_run[i], GbCommandCaller_Reason(&result));
+        }
+    }
+    for (int i = 0; i < GB_UNKNOWN_REASON_END; i++) {
+        struct GbResult result = {.outcome = GB_OUTCOME_UNKNOWN};
+
+        result.unknown = (enum GbUnknownReason)i;
+        if (self->unknown[i] > 0) {
+            fprintf(out, "operation=%s unknown=%" PRIu64 " reason=%s\n", name,
+                    self->unknown[i], GbCommandCaller_Reason(&result));
+        }
+    }
+}
+
+void
+GbLoadReport_Finish(struct GbLoadReport *self)
+{
+    for (uint32_t i = 0; i < self->operation_count; i++) {
+        GbPercentiles_Finish(&self->operations[i].times);
+    }
+}
+
+void
+GbLoadReport_Count(struct GbLoadOperation *operation,
+                   const struct GbResult *result, int64_t late_us)
+{
+    operation->submissions += result->submissions;
+    switch (result->outcome) {
+    case GB_OUTCOME_ANSWERED:
+        operation->answered++;
+        operation->answer_bytes += result->answer.size_bytes;
+        GbPercentiles_Add(&operation->times, result->elapsed_us + late_us);
+        break;
+    case GB_OUTCOME_NOT_RUN:
+        operation->not_run[result->not_run]++;
+        break;
+    case GB_OUTCOME_UNKNOWN:
+        operation->unknown[result->unknown]++;
+        break;
+    }
+}
+
+void
+GbLoadReport_Write(struct GbLoadReport *self, FILE *out)
+{
+    uint64_t calls = 0;
+    uint64_t answered = 0;
+    uint64_t not_run = 0;
+    uint64_t unknown = 0;
+    uint64_t submissions = 0;
+
+    for (uint32_t i = 0; i < self->operation_count; i++) {
+        const struct GbLoadOperation *operation = &self->operations[i];
+
+        calls += operation->calls;
+        answered += operation->answered;
+        not_run += not_run_of(operation);
+        unknown += unknown_of(operation);
+        submissions += operation->submissions;
+    }
+    fprintf(out,
+            "calls=%" PRIu64 " answered=%" PRIu64 " not_run=%" PRIu64
+            " unknown=%" PRIu64 " delayed=%" PRIu64
+            " submissions_per_call=%.3f duration_s=%.1f calls_per_s=%.1f\n",
+            calls, answered, not_run, unknown, self->delayed,
+            per(submissions, calls), (double)self->duration_us / US_PER_SECOND,
+            self->duration_us > 0
+                ? (double)calls * US_PER_SECOND / (double)self->duration_us
+                : 0);
+    for (uint32_t i = 0; i < self->operation_count; i++) {
+        write_operation(&self->operations[i], out);
+    }
+}
+
+bool
+GbLoadReport_HasAnswers(const struct GbLoadReport *self)
+{
+    for (uint32_t i = 0; i < self->operation_count; i++) {
+        if (self->operations[i].answered > 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/programs/guavabend_main.c
+++ b/src/programs/guavabend_main.c
@@ -11,6 +11,8 @@
 static const struct GbCommand commands[] = {
     {"call", "Call an operation of a service through balancers.",
      GbCommand_Call},
+    {"load", "Make a bounded load of calls and report how they went.",
+     GbCommand_Load},
 };
 
 static void
--- a/src/transport/caller_task.h
+++ b/src/transport/caller_task.h
@@ -48,8 +48,7 @@
 void GbCallerTask_Init(struct GbCallerTask *self, struct GbDocument *document,
                        const struct GbService *service, struct GbClock *clock);
 
-/* Changes the limits on calls without an outcome and on open sessions. To be
- * called before start. */
+/* Changes the limits on calls without an outcome and on open sessions. */
 void GbCallerTask_SetLimits(struct GbCallerTask *self, uint32_t outstanding,
                             uint32_t sessions);
 
--- a/src/transport/process.c
+++ b/src/transport/process.c
@@ -32,3 +32,13 @@
     }
     return number;
 }
+
+bool
+GbProcess_IsStopAsked(void)
+{
+    static const struct timespec at_once = {0, 0};
+    sigset_t set;
+
+    stop_signals(&set);
+    return sigtimedwait(&set, NULL, &at_once) > 0;
+}
--- a/src/transport/process.h
+++ b/src/transport/process.h
@@ -1,6 +1,8 @@
 #ifndef GB_TRANSPORT_PROCESS_H
 #define GB_TRANSPORT_PROCESS_H
 
+#include <stdbool.h>
+
 /* Exit codes of all programs. */
 enum GbExitCode { GB_EXIT_DONE = 0, GB_EXIT_FAILED = 1, GB_EXIT_USAGE = 2 };
 
@@ -11,4 +13,7 @@
 /* Waits for SIGTERM or SIGINT. Returns the signal. */
 int GbProcess_WaitForStop(void);
 
+/* Whether SIGTERM or SIGINT has arrived since the last look. Doesn't wait. */
+bool GbProcess_IsStopAsked(void);
+
 #endif
