Add a demo of the whole system on loopback

make demo installs what is missing, builds, and starts the platform, three balancers, and 7 hint and 4 pack targets with their agents. While 200 hint calls a second and one pack download run, it replaces a balancer, drains a hint target and the target of the download, and publishes a document. It then compares all outcomes with the targets' logs and bytes and exits with 1 if anything broke. Every process that it started ends with it.

The fuzz target leaves out tests/support/environment.c, which needs the document format that it does not link.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	tools/run-tests.sh $(BUILD)
 	tools/run-tests.sh $(BUILD)-sanitize
 
+demo:
+	tools/demo.sh
+
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
@@ -45,8 +48,8 @@
 	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
 	  -fno-sanitize-recover=all -Isrc -Itests -DGB_VERSION='"fuzz"' \
 	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack) \
-	  tests/fuzz/fuzz_datagram.c tests/support/*.c src/state/*.c \
-	  src/coordination/*.c \
+	  tests/fuzz/fuzz_datagram.c src/state/*.c \
+	  $$(ls tests/support/*.c | grep -v environment) src/coordination/*.c \
 	  $$(ls src/protocol/*.c | grep -v document_json) \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
 	  $$(pkg-config --libs glib-2.0 libsodium libxxhash msgpack) -lm
--- /dev/null
+++ b/tests/demo/demo_calls.c
@@ -0,0 +1,262 @@
+#include "demo/demo_calls.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "demo/demo.h"
+#include "support/pack_bytes.h"
+#include "support/run_log.h"
+
+#define US_PER_MS 1000
+#define US_PER_SECOND INT64_C(1000000)
+#define CALLS_PER_S 200
+#define PACK_KEY "weekly-pack"
+#define WAIT_MS 5
+/* Every third call belongs to a session. */
+#define SESSION_PERIOD 3
+#define OUTSTANDING_MAX 1024
+
+static int64_t
+elapsed_us(struct GbDemoCalls *self)
+{
+    return GbClock_MonotonicUs(&self->clock.super) - self->started_us;
+}
+
+/* Even tags are answer checks, which must not run twice. */
+static const char *
+operation_of(uint64_t tag)
+{
+    return tag % 2 == 0 ? "check" : "reveal";
+}
+
+static char *
+key_of(uint64_t tag)
+{
+    return g_strdup_printf("%s-%" PRIu64, operation_of(tag), tag);
+}
+
+static bool
+is_in_session(uint64_t tag)
+{
+    return tag % SESSION_PERIOD == 0;
+}
+
+static uint32_t
+session_of(uint64_t tag)
+{
+    return (uint32_t)(tag / SESSION_PERIOD) % GB_DEMO_SESSIONS;
+}
+
+static void
+make_call(struct GbDemoCalls *self)
+{
+    uint64_t tag = self->made++;
+    char *key = key_of(tag);
+    struct GbBytes body = {(const uint8_t *)key, (uint32_t)strlen(key)};
+    const struct GbOperation *operation =
+        GbService_OperationByName(self->hints.service, operation_of(tag));
+
+    g_ptr_array_add(self->outcomes, NULL);
+    if (is_in_session(tag)) {
+        GbCallerTask_CallInSession(&self->hints,
+                                   self->sessions[session_of(tag)], tag,
+                                   operation, body);
+    }
+    else {
+        GbCallerTask_Call(&self->hints, tag, operation, body);
+    }
+    g_free(key);
+}
+
+static void
+start_task(struct GbDemoCalls *self, struct GbCallerTask *task,
+           const char *service)
+{
+    struct GbLastMessage last;
+
+    GbCallerTask_Init(task, self->document,
+                      GbDocument_ServiceByName(self->document, service),
+                      &self->clock.super);
+    g_assert_cmpint(GbTask_Open(&task->super, &last), ==, GB_TRANSPORT_OK);
+    g_assert_cmpint(GbTask_Start(&task->super, &last), ==, GB_TRANSPORT_OK);
+}
+
+void
+GbDemoCalls_Start(struct GbDemoCalls *self, struct GbEnvironment *environment,
+                  int64_t duration_ms)
+{
+    struct GbBytes body = {(const uint8_t *)PACK_KEY, strlen(PACK_KEY)};
+
+    memset(self, 0, sizeof(*self));
+    self->environment = environment;
+    GbSystemClock_Init(&self->clock);
+    self->document = GbEnvironment_ReadDocument(environment);
+    self->outcomes = g_ptr_array_new();
+    start_task(self, &self->hints, GB_DEMO_HINTS);
+    start_task(self, &self->packs, GB_DEMO_PACKS);
+    GbDemoCalls_UseBalancers(self);
+    for (uint32_t i = 0; i < GB_DEMO_SESSIONS; i++) {
+        GbCallerTask_OpenSession(&self->hints, &self->sessions[i]);
+    }
+    self->started_us = GbClock_MonotonicUs(&self->clock.super);
+    self->duration_us = duration_ms * US_PER_MS;
+    GbCallerTask_Call(&self->packs, 0,
+                      GbService_OperationByName(self->packs.service, "pack"),
+                      body);
+}
+
+void
+GbDemoCalls_UseBalancers(struct GbDemoCalls *self)
+{
+    struct GbAddress addresses[GB_ENVIRONMENT_MEMBERS_MAX];
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < self->environment->balancer_count; i++) {
+        if (!self->environment->balancers[i].is_leaving) {
+            addresses[count++] = self->environment->balancers[i].address;
+        }
+    }
+    GbCallerTask_SetBalancers(&self->hints, addresses, count);
+    GbCallerTask_SetBalancers(&self->packs, addresses, count);
+}
+
+void
+GbDemoCalls_Continue(struct GbDemoCalls *self, uint32_t duration_ms)
+{
+    int64_t end_us = elapsed_us(self) + duration_ms * US_PER_MS;
+
+    do {
+        int64_t due_us = MIN(elapsed_us(self), self->duration_us);
+        struct GbCallOutcome *outcome;
+
+        while ((int64_t)self->made * US_PER_SECOND / CALLS_PER_S <= due_us &&
+               self->hints.outstanding < OUTSTANDING_MAX) {
+            make_call(self);
+        }
+        outcome = GbCallerTask_WaitOutcome(&self->hints, WAIT_MS);
+        if (outcome != NULL) {
+            self->outcomes->pdata[outcome->tag] = outcome;
+        }
+        if (self->pack == NULL) {
+            self->pack = GbCallerTask_WaitOutcome(&self->packs, 0);
+        }
+    } while (elapsed_us(self) < end_us);
+}
+
+bool
+GbDemoCalls_HaveEnded(const struct GbDemoCalls *self)
+{
+    return self->pack != NULL && self->hints.outstanding == 0;
+}
+
+int64_t
+GbDemoCalls_ElapsedMs(struct GbDemoCalls *self)
+{
+    return elapsed_us(self) / US_PER_MS;
+}
+
+static bool
+has_expected_bytes(const struct GbResult *result, uint64_t tag,
+                   const char *key)
+{
+    char *expected = g_strdup_printf("%s %s", operation_of(tag), key);
+    bool is_equal =
+        result->answer.size_bytes == strlen(expected) &&
+        memcmp(result->answer.data, expected, strlen(expected)) == 0;
+
+    g_free(expected);
+    return is_equal;
+}
+
+static void
+sum_hint(struct GbDemoCalls *self, uint64_t tag, const struct GbRunLog *log,
+         struct GbDemoSummary *summary, bool *is_session_broken)
+{
+    const struct GbCallOutcome *outcome = self->outcomes->pdata[tag];
+    char *key = key_of(tag);
+    uint32_t runs = GbRunLog_Runs(log, key);
+
+    summary->run_twice += tag % 2 == 0 && runs > 1;
+    if (outcome == NULL || outcome->result.outcome == GB_OUTCOME_UNKNOWN) {
+        summary->unknown++;
+    }
+    else if (outcome->result.outcome == GB_OUTCOME_NOT_RUN) {
+        summary->not_run++;
+        summary->falsely_not_run += runs > 0;
+    }
+    else if (has_expected_bytes(&outcome->result, tag, key)) {
+        summary->whole++;
+    }
+    else {
+        summary->wrong++;
+    }
+    if (is_in_session(tag) &&
+        (outcome == NULL || outcome->result.outcome != GB_OUTCOME_ANSWERED)) {
+        is_session_broken[session_of(tag)] = true;
+    }
+    g_free(key);
+}
+
+static void
+sum_pack(const struct GbDemoCalls *self, struct GbDemoSummary *summary)
+{
+    uint8_t *expected;
+
+    if (self->pack == NULL ||
+        self->pack->result.outcome != GB_OUTCOME_ANSWERED) {
+        summary->broken_flows++;
+        summary->unknown++;
+        return;
+    }
+    expected = g_malloc(GB_DEMO_PACK_BYTES);
+    GbPackBytes_Fill(PACK_KEY, 0, expected, GB_DEMO_PACK_BYTES);
+    if (self->pack->result.answer.size_bytes == GB_DEMO_PACK_BYTES &&
+        memcmp(self->pack->result.answer.data, expected, GB_DEMO_PACK_BYTES) ==
+            0) {
+        summary->whole++;
+    }
+    else {
+        summary->wrong++;
+        summary->broken_flows++;
+    }
+    g_free(expected);
+}
+
+void
+GbDemoCalls_Sum(struct GbDemoCalls *self, struct GbDemoSummary *summary)
+{
+    bool is_session_broken[GB_DEMO_SESSIONS] = {false};
+    struct GbRunLog log;
+
+    memset(summary, 0, sizeof(*summary));
+    GbRunLog_Init(&log);
+    for (uint32_t i = 0; i < self->environment->host_count; i++) {
+        GbRunLog_Add(&log, self->environment->hosts[i].target);
+    }
+    summary->calls = self->made + 1;
+    for (uint64_t tag = 0; tag < self->made; tag++) {
+        sum_hint(self, tag, &log, summary, is_session_broken);
+    }
+    sum_pack(self, summary);
+    for (uint32_t i = 0; i < GB_DEMO_SESSIONS; i++) {
+        summary->broken_flows += is_session_broken[i];
+    }
+    GbRunLog_Finish(&log);
+}
+
+void
+GbDemoCalls_Finish(struct GbDemoCalls *self)
+{
+    GbTask_Stop(&self->hints.super);
+    GbTask_Stop(&self->packs.super);
+    for (guint i = 0; i < self->outcomes->len; i++) {
+        if (self->outcomes->pdata[i] != NULL) {
+            GbCallOutcome_Free(self->outcomes->pdata[i]);
+        }
+    }
+    if (self->pack != NULL) {
+        GbCallOutcome_Free(self->pack);
+    }
+    g_ptr_array_unref(self->outcomes);
+    GbDocument_Unref(self->document);
+}
