--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	tools/run-tests.sh $(BUILD)
 	tools/run-tests.sh $(BUILD)-sanitize
 
+demo:
+	tools/demo.sh
+
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
