Exchange documents between processes over TCP

A process could only get documents from the platform. GbPeerServer and GbPeerClient exchange one frame each way over a bufferevent: a 4-byte length, a msgpack array and a keyed hash of 16 bytes, checked before the array is decoded. A request takes at most 128 bytes, an answer 1 MB and 64 bytes; 32 connections are served at once for at most 3 s each. The encoded document is shared by all connections, so 32 readers of 1 MB cost 1 MB.

--- /dev/null
+++ b/src/protocol/frame.c
@@ -0,0 +1,122 @@
+#include "protocol/frame.h"
+
+#include <string.h>
+
+#include "protocol/reader.h"
+#include "protocol/writer.h"
+
+#define ITEMS 4
+
+static void
+put_length(uint8_t *out, uint32_t length_bytes)
+{
+    for (int i = 0; i < GB_FRAME_LENGTH_BYTES; i++) {
+        out[i] =
+            (uint8_t)(length_bytes >> (8 * (GB_FRAME_LENGTH_BYTES - 1 - i)));
+    }
+}
+
+static uint32_t
+get_length(const uint8_t *in)
+{
+    uint32_t length_bytes = 0;
+
+    for (int i = 0; i < GB_FRAME_LENGTH_BYTES; i++) {
+        length_bytes = length_bytes << 8 | in[i];
+    }
+    return length_bytes;
+}
+
+static enum GbProtocolStatus
+decode_body(struct GbFrame *frame, const uint8_t *data, size_t size_bytes)
+{
+    struct GbReader reader;
+    struct GbBytes digest;
+
+    GbReader_Init(&reader, data, size_bytes);
+    frame->kind =
+        (enum GbFrameKind)GbReader_Uint(&reader, GB_FRAME_KIND_END - 1);
+    frame->head.revision = GbReader_Uint(&reader, UINT64_MAX);
+    digest = GbReader_Bytes(&reader, GB_DIGEST_BYTES);
+    frame->document = GbReader_OptionalBytes(&reader, GB_DOCUMENT_BYTES_MAX);
+    if (!GbReader_IsComplete(&reader) || frame->kind < GB_FRAME_PULL ||
+        digest.size_bytes != GB_DIGEST_BYTES ||
+        (frame->kind == GB_FRAME_DOCUMENT) != (frame->document.data != NULL)) {
+        return GB_PROTOCOL_MALFORMED;
+    }
+    memcpy(frame->head.digest, digest.data, GB_DIGEST_BYTES);
+    return GB_PROTOCOL_OK;
+}
+
+uint32_t
+GbFrame_Encode(const struct GbFrame *frame, const struct GbKeys *keys,
+               uint8_t *buffer, uint32_t capacity_bytes)
+{
+    uint8_t *body = buffer + GB_FRAME_LENGTH_BYTES;
+    struct GbWriter writer;
+    uint32_t size_bytes;
+
+    if (capacity_bytes < GB_FRAME_LENGTH_BYTES + GB_TAG_BYTES) {
+        return 0;
+    }
+    GbWriter_Init(&writer, body,
+                  capacity_bytes - GB_FRAME_LENGTH_BYTES - GB_TAG_BYTES);
+    GbWriter_PutArray(&writer, ITEMS);
+    GbWriter_PutUint(&writer, frame->kind);
+    GbWriter_PutUint(&writer, frame->head.revision);
+    GbWriter_PutBytes(&writer, frame->head.digest, GB_DIGEST_BYTES);
+    if (frame->kind == GB_FRAME_DOCUMENT) {
+        GbWriter_PutBytes(&writer, frame->document.data,
+                          frame->document.size_bytes);
+    }
+    else {
+        GbWriter_PutNil(&writer);
+    }
+    size_bytes = GbWriter_Size(&writer);
+    if (size_bytes == 0) {
+        return 0;
+    }
+    put_length(buffer, size_bytes);
+    GbKeys_FrameTag(keys, body, size_bytes, body + size_bytes);
+    return GB_FRAME_LENGTH_BYTES + size_bytes + GB_TAG_BYTES;
+}
+
+enum GbProtocolStatus
+GbFrame_Size(const uint8_t *data, size_t available_bytes, uint32_t max_bytes,
+             uint32_t *size_bytes)
+{
+    static const uint32_t around_bytes = GB_FRAME_LENGTH_BYTES + GB_TAG_BYTES;
+    uint32_t length_bytes;
+
+    *size_bytes = 0;
+    if (available_bytes < GB_FRAME_LENGTH_BYTES) {
+        return GB_PROTOCOL_OK;
+    }
+    length_bytes = get_length(data);
+    if (max_bytes < around_bytes || length_bytes > max_bytes - around_bytes) {
+        return GB_PROTOCOL_TOO_LARGE;
+    }
+    *size_bytes = length_bytes + around_bytes;
+    return GB_PROTOCOL_OK;
+}
+
+enum GbProtocolStatus
+GbFrame_Decode(struct GbFrame *frame, const struct GbKeys *keys,
+               const uint8_t *data, size_t size_bytes)
+{
+    const uint8_t *body = data + GB_FRAME_LENGTH_BYTES;
+    uint32_t expected_bytes;
+
+    if (GbFrame_Size(data, size_bytes, GB_FRAME_BYTES_MAX, &expected_bytes) !=
+            GB_PROTOCOL_OK ||
+        expected_bytes == 0 || expected_bytes != size_bytes) {
+        return GB_PROTOCOL_MALFORMED;
+    }
+    size_bytes -= GB_FRAME_LENGTH_BYTES + GB_TAG_BYTES;
+    /* The hash comes first, so that only members of the fleet reach the
+     * decoder. */
+    if (!GbKeys_IsFrameValid(keys, body, size_bytes, body + size_bytes)) {
+        return GB_PROTOCOL_FORGED_FRAME;
+    }
+    return decode_body(frame, body, size_bytes);
+}
--- a/src/protocol/refusal.c
+++ b/src/protocol/refusal.c
@@ -15,3 +15,13 @@
         break;
     }
 }
+
+void
+GbRefusal_CountFrame(struct GbCounters *counters, enum GbProtocolStatus status)
+{
+    GbCounters_Add(counters,
+                   status == GB_PROTOCOL_FORGED_FRAME
+                       ? GB_COUNTER_FRAMES_FORGED
+                       : GB_COUNTER_FRAMES_MALFORMED,
+                   1);
+}
--- a/src/protocol/refusal.h
+++ b/src/protocol/refusal.h
@@ -8,4 +8,8 @@
 void GbRefusal_Count(struct GbCounters *counters,
                      enum GbProtocolStatus status);
 
+/* Counts a frame that did not decode, by its status. */
+void GbRefusal_CountFrame(struct GbCounters *counters,
+                          enum GbProtocolStatus status);
+
 #endif
--- /dev/null
+++ b/src/transport/peer_client.c
@@ -0,0 +1,96 @@
+#include "transport/peer_client.h"
+
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#include "transport/peer_stream.h"
+
+static void
+finish(struct GbPeerClient *self, const struct GbFrame *frame)
+{
+    struct bufferevent *stream = self->stream;
+
+    /* The frame points into the stream's buffer. */
+    self->stream = NULL;
+    self->reply->done(self->reply, frame);
+    bufferevent_free(stream);
+}
+
+static void
+readable(struct bufferevent *stream, void *context)
+{
+    struct GbPeerClient *self = context;
+    struct GbFrame frame;
+
+    switch (GbPeerStream_Read(stream, self->keys, GB_FRAME_BYTES_MAX,
+                              self->counters, &frame)) {
+    case GB_PEER_INPUT_FRAME:
+        if (frame.kind == GB_FRAME_PULL) {
+            GbCounters_Add(self->counters, GB_COUNTER_FRAMES_MALFORMED, 1);
+            finish(self, NULL);
+            return;
+        }
+        finish(self, &frame);
+        return;
+    case GB_PEER_INPUT_REFUSED:
+        finish(self, NULL);
+        return;
+    default:
+        return;
+    }
+}
+
+static void
+ended(struct bufferevent *stream, short events, void *context)
+{
+    (void)stream;
+    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        finish(context, NULL);
+    }
+}
+
+void
+GbPeerClient_Init(struct GbPeerClient *self, struct event_base *base,
+                  const struct GbKeys *keys, struct GbPeerReply *reply,
+                  struct GbCounters *counters)
+{
+    self->base = base;
+    self->keys = keys;
+    self->counters = counters;
+    self->reply = reply;
+    self->stream = NULL;
+}
+
+void
+GbPeerClient_Pull(struct GbPeerClient *self, const struct GbAddress *peer,
+                  const struct GbDocumentHead *known)
+{
+    struct GbFrame frame = {.kind = GB_FRAME_PULL, .head = *known};
+    struct sockaddr_in system = {.sin_family = AF_INET};
+    GBytes *encoded = GbPeerStream_Encode(self->keys, &frame);
+
+    GbPeerClient_Stop(self);
+    system.sin_addr.s_addr = htonl(peer->ipv4);
+    system.sin_port = htons(peer->port);
+    /* With deferred callbacks a connection that fails at once does not call
+     * back before this function has returned. */
+    self->stream = bufferevent_socket_new(
+        self->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(self->stream, readable, NULL, ended, self);
+    bufferevent_setwatermark(self->stream, EV_READ, 0, GB_FRAME_BYTES_MAX + 1);
+    bufferevent_enable(self->stream, EV_READ | EV_WRITE);
+    GbPeerStream_Write(self->stream, encoded);
+    g_bytes_unref(encoded);
+    bufferevent_socket_connect(self->stream, (struct sockaddr *)&system,
+                               sizeof(system));
+}
+
+void
+GbPeerClient_Stop(struct GbPeerClient *self)
+{
+    if (self->stream != NULL) {
+        bufferevent_free(self->stream);
+        self->stream = NULL;
+    }
+}
--- /dev/null
+++ b/src/transport/peer_server.c
@@ -0,0 +1,217 @@
+#include "transport/peer_server.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#include "transport/peer_stream.h"
+
+/* A request is small; whoever sends more is no process of the fleet. */
+#define REQUEST_BYTES_MAX 128
+/* Longest time of a connection. A peer gives up before, after 2 s. */
+#define LIFETIME_S 3
+#define BACKLOG 64
+
+struct Connection {
+    struct GbPeerServer *server;
+    struct bufferevent *stream;
+    struct event *lifetime;
+    bool is_answered;
+};
+
+static void
+free_connection(gpointer data)
+{
+    struct Connection *connection = data;
+
+    event_free(connection->lifetime);
+    bufferevent_free(connection->stream);
+    g_free(connection);
+}
+
+static void
+close_connection(struct Connection *connection)
+{
+    g_hash_table_remove(connection->server->connections, connection);
+}
+
+static GBytes *
+encode_document(struct GbPeerServer *self, const struct GbDocument *document)
+{
+    struct GbFrame frame = {.kind = GB_FRAME_DOCUMENT};
+
+    frame.head = GbDocument_Head(document);
+    if (self->encoded == NULL ||
+        GbDocumentHead_Compare(&frame.head, &self->encoded_head) != 0) {
+        g_clear_pointer(&self->encoded, g_bytes_unref);
+        frame.document.data = document->bytes;
+        frame.document.size_bytes = document->size_bytes;
+        self->encoded = GbPeerStream_Encode(self->keys, &frame);
+        self->encoded_head = frame.head;
+    }
+    return g_bytes_ref(self->encoded);
+}
+
+static void
+answer(struct Connection *connection, const struct GbFrame *request)
+{
+    struct GbPeerServer *self = connection->server;
+    const struct GbDocument *highest = self->handler->highest(self->handler);
+    struct GbFrame nothing = {.kind = GB_FRAME_NOTHING};
+    GBytes *encoded;
+
+    nothing.head = GbDocument_Head(highest);
+    encoded = GbDocumentHead_Compare(&nothing.head, &request->head) > 0
+                  ? encode_document(self, highest)
+                  : GbPeerStream_Encode(self->keys, &nothing);
+    connection->is_answered = true;
+    bufferevent_disable(connection->stream, EV_READ);
+    GbPeerStream_Write(connection->stream, encoded);
+    g_bytes_unref(encoded);
+}
+
+static void
+readable(struct bufferevent *stream, void *context)
+{
+    struct Connection *connection = context;
+    struct GbPeerServer *self = connection->server;
+    struct GbFrame frame;
+
+    switch (GbPeerStream_Read(stream, self->keys, REQUEST_BYTES_MAX,
+                              self->counters, &frame)) {
+    case GB_PEER_INPUT_FRAME:
+        if (frame.kind == GB_FRAME_PULL) {
+            answer(connection, &frame);
+            return;
+        }
+        GbCounters_Add(self->counters, GB_COUNTER_FRAMES_MALFORMED, 1);
+        close_connection(connection);
+        return;
+    case GB_PEER_INPUT_REFUSED:
+        close_connection(connection);
+        return;
+    default:
+        return;
+    }
+}
+
+static void
+written(struct bufferevent *stream, void *context)
+{
+    struct Connection *connection = context;
+
+    (void)stream;
+    if (connection->is_answered) {
+        close_connection(connection);
+    }
+}
+
+static void
+count_cut(struct Connection *connection, enum GbCounterId counter)
+{
+    if (!connection->is_answered) {
+        GbCounters_Add(connection->server->counters, counter, 1);
+    }
+    close_connection(connection);
+}
+
+static void
+ended(struct bufferevent *stream, short events, void *context)
+{
+    (void)stream;
+    (void)events;
+    count_cut(context, GB_COUNTER_FRAMES_MALFORMED);
+}
+
+static void
+lifetime_over(evutil_socket_t fd, short events, void *context)
+{
+    (void)fd;
+    (void)events;
+    count_cut(context, GB_COUNTER_FRAMES_TIMED_OUT);
+}
+
+static void
+accepted(struct evconnlistener *listener, evutil_socket_t fd,
+         struct sockaddr *address, int size_bytes, void *context)
+{
+    static const struct timeval lifetime = {LIFETIME_S, 0};
+    struct GbPeerServer *self = context;
+    struct Connection *connection;
+
+    (void)listener;
+    (void)address;
+    (void)size_bytes;
+    if (g_hash_table_size(self->connections) >= GB_PEER_CONNECTIONS_MAX) {
+        GbCounters_Add(self->counters, GB_COUNTER_PEER_CONNECTIONS_REFUSED, 1);
+        evutil_closesocket(fd);
+        return;
+    }
+    GbCounters_Add(self->counters, GB_COUNTER_PEER_CONNECTIONS, 1);
+    connection = g_new0(struct Connection, 1);
+    connection->server = self;
+    connection->stream =
+        bufferevent_socket_new(self->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    connection->lifetime =
+        event_new(self->base, -1, 0, lifetime_over, connection);
+    g_hash_table_add(self->connections, connection);
+    event_add(connection->lifetime, &lifetime);
+    bufferevent_setcb(connection->stream, readable, written, ended,
+                      connection);
+    /* Input beyond the limit stays in the socket. */
+    bufferevent_setwatermark(connection->stream, EV_READ, 0,
+                             REQUEST_BYTES_MAX + 1);
+    bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+}
+
+enum GbTransportStatus
+GbPeerServer_Open(struct GbPeerServer *self, const struct GbAddress *address,
+                  struct event_base *base, struct GbPeerHandler *handler,
+                  const struct GbKeys *keys, struct GbCounters *counters,
+                  struct GbLastMessage *last)
+{
+    struct sockaddr_in system = {.sin_family = AF_INET};
+    char text[GB_ADDRESS_TEXT_BYTES];
+
+    self->base = base;
+    self->encoded = NULL;
+    self->handler = handler;
+    self->keys = keys;
+    self->counters = counters;
+    system.sin_addr.s_addr = htonl(address->ipv4);
+    system.sin_port = htons(address->port);
+    self->listener = evconnlistener_new_bind(
+        base, accepted, self,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        BACKLOG, (struct sockaddr *)&system, sizeof(system));
+    if (self->listener == NULL) {
+        GbLastMessage_Set(last, "no TCP socket on %s: %s",
+                          GbAddress_Format(address, text), strerror(errno));
+        return GB_TRANSPORT_SYSTEM;
+    }
+    self->connections =
+        g_hash_table_new_full(NULL, NULL, free_connection, NULL);
+    return GB_TRANSPORT_OK;
+}
+
+void
+GbPeerServer_Close(struct GbPeerServer *self)
+{
+    if (self->listener != NULL) {
+        g_hash_table_destroy(self->connections);
+        evconnlistener_free(self->listener);
+        self->listener = NULL;
+    }
+    g_clear_pointer(&self->encoded, g_bytes_unref);
+}
+
+uint16_t
+GbPeerServer_Port(const struct GbPeerServer *self)
+{
+    struct sockaddr_in system = {0};
+    socklen_t size_bytes = sizeof(system);
+
+    getsockname(evconnlistener_get_fd(self->listener),
+                (struct sockaddr *)&system, &size_bytes);
+    return ntohs(system.sin_port);
+}
