Add a bench of placement policies

Cause: the figures of section 6.4 come from a model that was not kept, and the implementation itself was not measured.

Change: make bench-policy runs the decision cores of balancers, agents and callers over a small event queue and a manual clock, under the sizes and delays of section 1.1: tenfold swings within 2 s, the crest at 85% of the slots, exponential service times, 1 in 100 requests 50 times longer (declared as an operation of the long class, or not), long work alone, a cold target, a target at a tenth of its speed, and misleading reports. An argument selects one scenario.

A report from another data centre takes 2 ms or 3 ms, so none arrives within the 2 ms. All policies lose half the slots of agency hosts that do long work alone, since one slot is kept for short work that never comes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build build-sanitize test format format-check lint layers clean
+.PHONY: all deps build build-sanitize test format format-check lint layers clean bench-policy
 
 all: build
 
@@ -32,5 +32,8 @@
 layers:
 	tools/check-layers.sh
 
+bench-policy: build
+	$(BUILD)/bench_policy
+
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize
--- a/src/transport/target_task.c
+++ b/src/transport/target_task.c
@@ -44,8 +44,8 @@
             uint32_t slots)
 {
     struct GbTargetTask *self =
-        (struct GbTargetTask *)((char *)listener - offsetof(struct GbTargetTask,
-                                                            poll_listener));
+        (struct GbTargetTask *)((char *)listener -
+                                offsetof(struct GbTargetTask, poll_listener));
 
     /* The next poll makes up for one that is dropped. */
     GbTask_Offer(self->data, GbPolledMail_New(health, slots));
--- /dev/null
+++ b/tests/bench/bench_policy.c
@@ -0,0 +1,103 @@
+#include <gsl/gsl_statistics_double.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "support/policy_simulation.h"
+
+#define SEED 20
+#define CYCLES 21
+#define US_PER_MS 1000
+
+/* Compares ways to place unbound CALLs under the sizes and delays of section
+ * 1.1 of the design page. */
+
+static const char *const policy_names[POLICY_END] = {
+    [POLICY_RENDEZVOUS] = "rendezvous alone",
+    [POLICY_TWO_CHOICES] = "two choices, 100 ms reports",
+    [POLICY_TWO_CHOICES_UNCAPPED] = "two choices, long not capped",
+    [POLICY_WEIGHTED_RANDOM] = "weighted random (A34)",
+    [POLICY_HANDOVER] = "hand-over (implementation)",
+    [POLICY_OMNISCIENT] = "omniscient least-loaded",
+};
+
+static const struct Scenario scenarios[] = {
+    {"agency, short work", 7, 2, 4, 1000, 20 * US_PER_MS, DEMAND_LONG_DECLARED,
+     TROUBLE_NONE},
+    {"agency, short work, longer requests not declared", 7, 2, 4, 1000,
+     20 * US_PER_MS, DEMAND_LONG_HIDDEN, TROUBLE_NONE},
+    {"franchise, short work", 7, 5, 3, 1500, 20 * US_PER_MS,
+     DEMAND_LONG_DECLARED, TROUBLE_NONE},
+    {"agency, long work", 4, 2, 4, 1000, 1000 * US_PER_MS, DEMAND_LONG_ONLY,
+     TROUBLE_NONE},
+    {"franchise, long work", 3, 5, 3, 1500, 1000 * US_PER_MS, DEMAND_LONG_ONLY,
+     TROUBLE_NONE},
+    {"agency, one cold target", 7, 2, 4, 1000, 20 * US_PER_MS,
+     DEMAND_LONG_DECLARED, TROUBLE_COLD},
+    {"agency, one target at a tenth", 7, 2, 4, 1000, 20 * US_PER_MS,
+     DEMAND_LONG_DECLARED, TROUBLE_SLOW},
+    {"agency, stale and misleading reports", 7, 2, 4, 1000, 20 * US_PER_MS,
+     DEMAND_LONG_DECLARED, TROUBLE_REPORTS},
+};
+
+static double
+quantile(const struct PolicyResult *result, double share)
+{
+    return gsl_stats_quantile_from_sorted_data(
+        (const double *)result->latencies->data, 1, result->latencies->len,
+        share);
+}
+
+static void
+run(const struct Scenario *scenario)
+{
+    struct PolicyResult results[POLICY_END];
+    double limit;
+
+    printf("\n%s: %u hosts of %u slots, %.1f ms between data centres\n",
+           scenario->name, scenario->hosts, scenario->slots,
+           (double)scenario->delay_us / US_PER_MS);
+    printf("%-30s %7s %7s %7s %6s %7s %6s %6s %6s %6s %6s\n", "policy", "p50",
+           "p99", "p99.9", "p99/o", "in time", "busy", "reqs", "sends",
+           "moved", "asks");
+    for (int i = 0; i < POLICY_END; i++) {
+        PolicySimulation_Run(scenario, (enum Policy)i, SEED, CYCLES,
+                             &results[i]);
+    }
+    limit = quantile(&results[POLICY_OMNISCIENT], 0.99);
+    for (int i = 0; i < POLICY_END; i++) {
+        const struct PolicyResult *result = &results[i];
+        double calls = (double)result->all_calls;
+
+        printf("%-30s %7.1f %7.1f %7.1f %6.2f %6.2f%% %6.3f %6.3f %6.3f "
+               "%6.3f %6.3f\n",
+               policy_names[i], quantile(result, 0.5), quantile(result, 0.99),
+               quantile(result, 0.999), quantile(result, 0.99) / limit,
+               100.0 * (double)result->in_time / (double)result->calls,
+               result->busy_imbalance, result->request_imbalance,
+               (double)result->sends / calls,
+               (double)result->handovers / calls,
+               (double)result->asks / calls);
+        PolicyResult_Finish(&results[i]);
+    }
+    fflush(stdout);
+}
+
+/* With an argument, runs the scenario of that number only. */
+int
+main(int argc, char **argv)
+{
+    size_t only = argc > 1 ? (size_t)atoi(argv[1]) : G_N_ELEMENTS(scenarios);
+
+    printf(
+        "Latencies in ms at the crest, longer requests left out. p99/o: p99 "
+        "over the\nomniscient one. busy, reqs: largest over mean of busy "
+        "time and of requests\nover 10 s. sends, moved, asks: submissions, "
+        "hand-overs and load questions\nper call. Seed %d, %d crests.\n",
+        SEED, CYCLES - 1);
+    for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+        if (argc < 2 || i == only) {
+            run(&scenarios[i]);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/support/policy_hosts.h
@@ -0,0 +1,78 @@
+#ifndef GB_TESTS_SUPPORT_POLICY_HOSTS_H
+#define GB_TESTS_SUPPORT_POLICY_HOSTS_H
+
+#include "coordination/agent.h"
+#include "coordination/balancer.h"
+#include "coordination/caller.h"
+#include "support/event_queue.h"
+#include "support/policy_simulation.h"
+
+#define HOSTS_MAX 16
+#define CALLERS 16
+#define SERVICE_ID 1
+
+struct Fleet;
+
+/* Agent and its target. */
+struct Host {
+    struct GbAgentPort port;
+    struct Fleet *fleet;
+    uint32_t index;
+    struct GbAgent agent;
+    struct GbCounters counters;
+    int64_t wake_us;
+    /* Work at the target, by work id. */
+    GHashTable *works;
+    /* Work that waits for a slot of the target. */
+    GQueue waiting;
+    uint32_t active;
+    /* Since the last call of Fleet_ResetLoad. */
+    int64_t busy_us;
+    uint32_t started;
+    struct GbLoad reported;
+};
+
+struct CallerHost {
+    struct GbCallerPort port;
+    struct Fleet *fleet;
+    uint32_t index;
+    struct GbCaller caller;
+    int64_t wake_us;
+};
+
+/* Hosts, callers and the network between them. */
+struct Fleet {
+    const struct Scenario *scenario;
+    enum Policy policy;
+    struct GbManualClock clock;
+    struct GbSeededRandom random;
+    struct EventQueue events;
+    struct GbCounters counters;
+    struct GbBalancer balancer;
+    struct GbDocument *document;
+    struct Host hosts[HOSTS_MAX];
+    struct CallerHost callers[CALLERS];
+    /* Factor on the time of work, by host. */
+    int64_t slowness[HOSTS_MAX];
+    void (*delivered)(void *context, const struct GbResult *result);
+};
+
+void Fleet_Init(struct Fleet *self, const struct Scenario *scenario,
+                enum Policy policy, uint64_t seed);
+
+void Fleet_Finish(struct Fleet *self);
+
+/* Starts a call on a flow of its own. is_longer is set for the 1 in 100 that
+ * takes 50 times longer. delivered is given context. */
+void Fleet_Call(struct Fleet *self, uint32_t caller, struct GbCallerFlow *flow,
+                int64_t service_us, bool is_longer, void *context);
+
+/* Publishes the load that every host reports to POLICY_TWO_CHOICES. */
+void Fleet_Report(struct Fleet *self);
+
+/* Sets the agent's timer after the agent was called from outside. */
+void Fleet_Arm(struct Host *host);
+
+void Fleet_ResetLoad(struct Fleet *self);
+
+#endif
