Keep no slot for short work where there is none

Cause: long work may hold N-1 slots. On hosts that do long work alone, such as the pack hosts with two slots, half the capacity was never used.

Change: the cap holds only if the service has an operation of the short class.

--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -111,6 +111,17 @@
     return limit == 0 ? 0 : MAX(limit / shares, 1);
 }
 
+static bool
+has_short_work(const struct GbService *service)
+{
+    for (uint32_t i = 0; i < service->operation_count; i++) {
+        if (service->operations[i].work_class == GB_CLASS_SHORT) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 set_limits(struct GbAgent *self, int64_t now_us)
 {
@@ -230,7 +241,8 @@
     }
     set_limits(self, now_us);
     GbSlots_SetTotal(&self->slots, self->service->slots,
-                     self->service->ramp_ms, now_us);
+                     self->service->ramp_ms, has_short_work(self->service),
+                     now_us);
     set_drain_cause(self, GB_DRAIN_INSTANCE_LIST,
                     own != NULL && own->is_leaving);
     GbDelivery_Pump(self);
--- a/src/coordination/slots.c
+++ b/src/coordination/slots.c
@@ -13,7 +13,8 @@
 static uint32_t
 long_limit(const struct GbSlots *self)
 {
-    return self->usable > 1 ? self->usable - 1 : self->usable;
+    return self->keeps_short_slot && self->usable > 1 ? self->usable - 1
+                                                      : self->usable;
 }
 
 static int64_t
@@ -56,6 +57,7 @@
     self->total = total;
     self->usable = total;
     self->ramped = total;
+    self->keeps_short_slot = true;
     self->queue_limit = queue_limit;
     for (int i = 0; i < GB_CLASS_END; i++) {
         g_queue_init(&self->queues[i]);
@@ -64,10 +66,11 @@
 
 void
 GbSlots_SetTotal(struct GbSlots *self, uint32_t total, uint32_t ramp_ms,
-                 int64_t now_us)
+                 bool keeps_short_slot, int64_t now_us)
 {
     assert(total > 0);
     self->total = total;
+    self->keeps_short_slot = keeps_short_slot;
     self->ramp_us = (int64_t)ramp_ms * US_PER_MS;
     GbSlots_Refresh(self, now_us);
 }
--- a/src/coordination/slots.h
+++ b/src/coordination/slots.h
@@ -11,14 +11,16 @@
 #define GB_SLOTS_SHEDS_MAX 32
 
 /* Slots of one target and the queue before them. Long work never takes the
- * last slot when there are several, so that short work never waits behind
- * long work alone. */
+ * last slot when there are several and the service has short work, so that
+ * short work never waits behind long work alone. */
 struct GbSlots {
     /* Slots of the target when it is warm. */
     uint32_t total;
     /* Slots that may be used now. */
     uint32_t usable;
     uint32_t queue_limit;
+    /* Whether a slot is kept from long work. */
+    bool keeps_short_slot;
     /* A target starts with one slot and has all of them after ramp_us. */
     int64_t ramp_start_us;
     int64_t ramp_us;
@@ -42,9 +44,10 @@
 /* Prepares slots that are all usable at once. */
 void GbSlots_Init(struct GbSlots *self, uint32_t total, uint32_t queue_limit);
 
-/* Changes the number of slots. The ramp goes on from where it is. */
+/* Changes the number of slots. The ramp goes on from where it is. Without
+ * short work, keeps_short_slot would only leave a slot idle. */
 void GbSlots_SetTotal(struct GbSlots *self, uint32_t total, uint32_t ramp_ms,
-                      int64_t now_us);
+                      bool keeps_short_slot, int64_t now_us);
 
 /* The target is cold: starts again with one slot. */
 void GbSlots_StartRamp(struct GbSlots *self, int64_t now_us);
--- a/tests/support/agent_fixture.c
+++ b/tests/support/agent_fixture.c
@@ -98,6 +98,10 @@
     service->slots = setup->slots;
     service->operations = g_memdup2(operations, sizeof(operations));
     service->operation_count = OPERATION_COUNT;
+    if (setup->is_long_only) {
+        service->operations[0] = operations[FIXTURE_PACK - 1];
+        service->operation_count = 1;
+    }
     service->limits.flows = setup->flows;
     service->limits.queue = setup->queue;
     service->limits.rate_per_s = setup->rate_per_s;
--- a/tests/support/agent_fixture.h
+++ b/tests/support/agent_fixture.h
@@ -23,6 +23,8 @@
     uint32_t rate_per_s;
     uint32_t ramp_ms;
     uint32_t drain_flow_ms;
+    /* The service has FIXTURE_PACK only. */
+    bool is_long_only;
 };
 
 /* Message that the agent has sent to a member. */
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -43,7 +43,7 @@
 
         GbSlots_Init(&slots, 1, 0);
         GbSlots_StartRamp(&slots, 0);
-        GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, 0);
+        GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, true, 0);
         GbSlots_Report(&slots, row->reported, row->at_us - 100000);
         for (uint32_t shed = 0; shed < row->sheds; shed++) {
             GbSlots_Shed(&slots, row->at_us - 100000);
@@ -63,7 +63,7 @@
 
     GbSlots_Init(&slots, 1, 0);
     GbSlots_StartRamp(&slots, 0);
-    GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, now_us);
+    GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, true, now_us);
     GbSlots_Shed(&slots, now_us);
     GbSlots_Refresh(&slots, now_us + 999999);
     g_assert_cmpuint(slots.usable, ==, TOTAL - 1);
@@ -82,6 +82,7 @@
 
 struct RoomCase {
     uint32_t total;
+    bool keeps_short_slot;
     uint32_t running_short;
     uint32_t running_long;
     bool has_short_room;
@@ -89,13 +90,17 @@
 };
 
 static const struct RoomCase room_cases[] = {
-    {1, 0, 0, true, true},   {1, 0, 1, false, false}, {2, 0, 0, true, true},
-    {2, 0, 1, true, false},  {2, 1, 0, true, true},   {2, 1, 1, false, false},
-    {2, 2, 0, false, false}, {5, 0, 4, true, false},  {5, 0, 3, true, true},
+    {1, true, 0, 0, true, true},    {1, true, 0, 1, false, false},
+    {2, true, 0, 0, true, true},    {2, true, 0, 1, true, false},
+    {2, true, 1, 0, true, true},    {2, true, 1, 1, false, false},
+    {2, true, 2, 0, false, false},  {5, true, 0, 4, true, false},
+    {5, true, 0, 3, true, true},    {2, false, 0, 1, true, true},
+    {2, false, 0, 2, false, false},
 };
 
 /* Guards against long work that takes the last slot, behind which short work
- * would wait. */
+ * would wait, and against a slot that stays idle on hosts without short work.
+ */
 static void
 test_room(void)
 {
@@ -104,6 +109,7 @@
         struct GbSlots slots;
 
         GbSlots_Init(&slots, row->total, 0);
+        GbSlots_SetTotal(&slots, row->total, 0, row->keeps_short_slot, 0);
         for (uint32_t n = 0; n < row->running_short; n++) {
             GbSlots_Start(&slots, GB_CLASS_SHORT);
         }
@@ -191,6 +197,36 @@
     }
 }
 
+struct LongCase {
+    bool is_long_only;
+    uint32_t started;
+};
+
+static const struct LongCase long_cases[] = {
+    {false, TOTAL - 1},
+    {true, TOTAL},
+};
+
+/* Guards against long work that is given the slot of short work, or that is
+ * kept from a slot which no short work will ever use. */
+static void
+test_long_work(void)
+{
+    static struct AgentFixture fixture;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(long_cases); i++) {
+        struct FixtureSetup setup = {
+            .slots = TOTAL, .is_long_only = long_cases[i].is_long_only};
+
+        AgentFixture_Init(&fixture, &setup);
+        for (uint64_t flow_id = 1; flow_id <= 2 * TOTAL; flow_id++) {
+            AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_PACK, NULL);
+        }
+        g_assert_cmpuint(fixture.started_count, ==, long_cases[i].started);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
 /* Guards against a queue that stands still while the ramp frees slots. */
 static void
 test_ramp_starts_queued_work(void)
@@ -219,6 +255,7 @@
     g_test_add_func("/slots/room", test_room);
     g_test_add_func("/slots/expected_wait", test_expected_wait);
     g_test_add_func("/slots/agent", test_agent);
+    g_test_add_func("/slots/long_work", test_long_work);
     g_test_add_func("/slots/ramp_starts_queued_work",
                     test_ramp_starts_queued_work);
     return g_test_run();
