--- a/Makefile
+++ b/Makefile
@@ -72,5 +72,8 @@
 	$(BUILD)-fuzz/fuzz_datagram -artifact_prefix=$(BUILD)-fuzz/ \
 	  -max_total_time=$(FUZZ_SECONDS) -max_len=2048
 
+bench-policy: build
+	$(BUILD)/bench_policy
+
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize $(BUILD)-fuzz
