--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 	tools/run-tests.sh $(BUILD)
 	tools/run-tests.sh $(BUILD)-sanitize
 
+demo:
+	tools/demo.sh
+
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
@@ -42,13 +45,26 @@
 layers:
 	tools/check-layers.sh
 
+# Without the cache of each thread, glibc counts freed memory as free.
+bench: build
+	$(BUILD)/bench_forward
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
+
+bench-capacity: build
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_balancer
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_agent
+	$(BUILD)/bench_capacity_platform
+
 # Random datagrams under libFuzzer and the sanitizers. Not part of CI.
 fuzz: deps
 	mkdir -p $(BUILD)-fuzz
 	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
-	  -fno-sanitize-recover=all -Isrc -Itests -DGB_VERSION='"fuzz"' \
+	  -fno-sanitize-recover=all -Isrc -Itests -D_GNU_SOURCE -DGB_VERSION='"fuzz"' \
 	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack) \
-	  tests/fuzz/fuzz_datagram.c tests/support/*.c src/state/*.c \
+	  tests/fuzz/fuzz_datagram.c \
+	  $(addprefix tests/support/,fleet.c hostile.c sample_messages.c \
+	    wire_fixture.c) src/state/*.c \
 	  src/coordination/*.c \
 	  $$(ls src/protocol/*.c | grep -v document_json) \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
@@ -56,5 +72,8 @@
 	$(BUILD)-fuzz/fuzz_datagram -artifact_prefix=$(BUILD)-fuzz/ \
 	  -max_total_time=$(FUZZ_SECONDS) -max_len=2048
 
+bench-policy: build
+	$(BUILD)/bench_policy
+
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize $(BUILD)-fuzz
