Check that documents spread in scenarios and matrix

At the end of a run, every process that can read the platform must have a document in force that is not older than the platform's, if its time has come.

--- a/tests/support/simulation.c
+++ b/tests/support/simulation.c
@@ -335,6 +335,21 @@
     }
 }
 
+/* Whether a process that can read the platform has an older document in force
+ * than the platform, although the time of that one has come. */
+static bool
+is_behind(const struct GbSimulation *self, struct GbSimProcess *process)
+{
+    const struct GbDocument *newest = self->platform.document;
+
+    return process->role != GB_SIM_CALLER &&
+           process->state == GB_SIM_RUNNING && !process->feed.is_down &&
+           !process->feed.is_stale &&
+           newest->in_force_from_us <=
+               self->now_us + process->wall_offset_us &&
+           GbDocument_Compare(GbSimFeed_InForce(&process->feed), newest) < 0;
+}
+
 void
 GbSimulation_CheckEnd(struct GbSimulation *self)
 {
@@ -345,6 +360,14 @@
             GbSimulation_Violate(self, "call %s did not end", call->key);
         }
     }
+    for (guint i = 0; i < self->processes->len; i++) {
+        struct GbSimProcess *process = self->processes->pdata[i];
+
+        if (is_behind(self, process)) {
+            GbSimulation_Violate(self, "%s has an old document in force",
+                                 process->node.name);
+        }
+    }
 }
 
 uint32_t
--- a/tests/support/simulation.h
+++ b/tests/support/simulation.h
@@ -132,7 +132,8 @@
 /* Runs until all calls have ended, or until a time. */
 void GbSimulation_RunCalls(struct GbSimulation *self, int64_t until_us);
 
-/* Adds what can only be said at the end: calls that did not end. */
+/* Adds what can only be said at the end: calls that did not end, processes
+ * that have an old document in force. */
 void GbSimulation_CheckEnd(struct GbSimulation *self);
 
 /* Runs of one call at targets. */
--- a/tests/test_random_faults.c
+++ b/tests/test_random_faults.c
@@ -9,6 +9,8 @@
 #define SLICE_US INT64_C(50000)
 /* Beyond all repeats, moves and delayed datagrams. */
 #define REST_US INT64_C(90000000)
+/* Time in which a document must be in force everywhere. */
+#define SPREAD_US INT64_C(5000000)
 #define SESSIONS 6
 #define CALLS_PER_SLICE 2
 /* One step in so many is struck. */
@@ -123,6 +125,7 @@
     }
     striker.is_active = false;
     GbSimulation_RunCalls(&simulation, simulation.now_us + REST_US);
+    GbSimulation_RunUntil(&simulation, simulation.now_us + SPREAD_US);
     GbSimulation_CheckEnd(&simulation);
     for (guint i = 0; i < simulation.calls->len; i++) {
         const struct GbSimCall *call = simulation.calls->pdata[i];
