Split the simulation's process and the scenario verbs by job

Inputs and outputs of a process are now in sim_io, words and expectations of scenarios in scenario_words and scenario_expect.

--- a/tests/support/scenario_verbs.c
+++ b/tests/support/scenario_verbs.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
 #include "support/scenario.h"
+#include "support/scenario_expect.h"
+#include "support/scenario_words.h"
 
 #define US_PER_MS 1000
 #define PERCENT_ALL 100
@@ -26,65 +28,15 @@
     {"UNKNOWN", GB_MESSAGE_UNKNOWN},
 };
 
-static const char *
-word(const struct GbScenario *self, uint32_t index)
-{
-    return index < self->word_count ? self->words[index].text : "";
-}
-
-static bool
-is_word(const struct GbScenario *self, uint32_t index, const char *text)
-{
-    return strcmp(word(self, index), text) == 0;
-}
-
-static int64_t
-number(struct GbScenario *self, uint32_t index)
-{
-    if (index >= self->word_count || !self->words[index].is_number) {
-        GbScenario_Fail(self, "word %u must be a number", index + 1);
-        return 0;
-    }
-    return self->words[index].number;
-}
-
-/* Position of the word after a key; 0 if the key is not there. */
-static uint32_t
-after(const struct GbScenario *self, const char *key)
-{
-    for (uint32_t i = 1; i + 1 < self->word_count; i++) {
-        if (is_word(self, i, key)) {
-            return i + 1;
-        }
-    }
-    return 0;
-}
-
-static const char *
-text_after(const struct GbScenario *self, const char *key,
-           const char *otherwise)
-{
-    uint32_t at = after(self, key);
-
-    return at > 0 ? word(self, at) : otherwise;
-}
-
-static int64_t
-number_after(struct GbScenario *self, const char *key, int64_t otherwise)
-{
-    uint32_t at = after(self, key);
-
-    return at > 0 ? number(self, at) : otherwise;
-}
-
 static struct GbSimProcess *
 process(struct GbScenario *self, uint32_t index)
 {
     struct GbSimProcess *found =
-        GbSimulation_Find(&self->simulation, word(self, index));
+        GbSimulation_Find(&self->simulation, GbScenarioWords_At(self, index));
 
     if (found == NULL) {
-        GbScenario_Fail(self, "no process %s", word(self, index));
+        GbScenario_Fail(self, "no process %s",
+                        GbScenarioWords_At(self, index));
     }
     return found;
 }
@@ -97,20 +49,21 @@
         return;
     }
     GbSimulation_Finish(&self->simulation);
-    GbSimulation_Init(&self->simulation, (uint64_t)number(self, 1), true);
+    GbSimulation_Init(&self->simulation,
+                      (uint64_t)GbScenarioWords_Number(self, 1), true);
 }
 
 static void
 do_start(struct GbScenario *self)
 {
     static const char *const roles[] = {"balancer", "agent", "caller"};
-    const char *service = text_after(self, "service", "desk");
-    const char *holder = text_after(self, "at", "");
+    const char *service = GbScenarioWords_TextAfter(self, "service", "desk");
+    const char *holder = GbScenarioWords_TextAfter(self, "at", "");
 
     for (uint32_t i = 0; i < G_N_ELEMENTS(roles); i++) {
         struct GbSimProcess *made;
 
-        if (!is_word(self, 1, roles[i])) {
+        if (!GbScenarioWords_Is(self, 1, roles[i])) {
             continue;
         }
         if (holder[0] != '\0') {
@@ -122,23 +75,25 @@
                 return;
             }
             made = GbSimulation_StartAt(&self->simulation, (enum GbSimRole)i,
-                                        word(self, 2), service,
+                                        GbScenarioWords_At(self, 2), service,
                                         &other->node.address);
         }
         else {
             made = GbSimulation_Start(&self->simulation, (enum GbSimRole)i,
-                                      word(self, 2), service);
+                                      GbScenarioWords_At(self, 2), service);
         }
         if (made == NULL) {
-            GbScenario_Fail(self, "%s exists already", word(self, 2));
+            GbScenario_Fail(self, "%s exists already",
+                            GbScenarioWords_At(self, 2));
         }
-        else if (made->role == GB_SIM_CALLER && after(self, "budget") > 0) {
+        else if (made->role == GB_SIM_CALLER &&
+                 GbScenarioWords_After(self, "budget") > 0) {
             made->caller.core.budget.percent =
-                (uint32_t)number_after(self, "budget", 0);
+                (uint32_t)GbScenarioWords_NumberAfter(self, "budget", 0);
         }
         return;
     }
-    GbScenario_Fail(self, "no role %s", word(self, 1));
+    GbScenario_Fail(self, "no role %s", GbScenarioWords_At(self, 1));
 }
 
 static void
@@ -169,7 +124,8 @@
     if (found != NULL) {
         GbSimProcess_Kill(found);
         GbSimulation_Restart(&self->simulation, found,
-                             number_after(self, "after", 0) * US_PER_MS);
+                             GbScenarioWords_NumberAfter(self, "after", 0) *
+                                 US_PER_MS);
     }
 }
 
@@ -196,7 +152,7 @@
 static enum GbMessageKind
 kind_after(struct GbScenario *self)
 {
-    const char *name = text_after(self, "kind", "");
+    const char *name = GbScenarioWords_TextAfter(self, "kind", "");
 
     if (name[0] == '\0') {
         return 0;
@@ -214,18 +170,20 @@
 static void
 add_rule(struct GbScenario *self, enum GbSimFault fault)
 {
-    bool is_one_way = is_word(self, 2, "to");
-    const char *from = word(self, 1);
-    const char *to = word(self, is_one_way ? 3 : 2);
+    bool is_one_way = GbScenarioWords_Is(self, 2, "to");
+    const char *from = GbScenarioWords_At(self, 1);
+    const char *to = GbScenarioWords_At(self, is_one_way ? 3 : 2);
     struct GbSimRule rule = {.fault = fault};
 
     rule.kind = kind_after(self);
-    rule.percent = (uint32_t)number_after(self, "percent", PERCENT_ALL);
-    rule.count = (uint32_t)number_after(self, "count", 0);
-    rule.delay_us = number_after(self, "by", 0) * US_PER_MS;
-    if (after(self, "until") > 0) {
-        rule.delay_us = number_after(self, "until", 0) * US_PER_MS -
-                        self->simulation.now_us;
+    rule.percent =
+        (uint32_t)GbScenarioWords_NumberAfter(self, "percent", PERCENT_ALL);
+    rule.count = (uint32_t)GbScenarioWords_NumberAfter(self, "count", 0);
+    rule.delay_us = GbScenarioWords_NumberAfter(self, "by", 0) * US_PER_MS;
+    if (GbScenarioWords_After(self, "until") > 0) {
+        rule.delay_us =
+            GbScenarioWords_NumberAfter(self, "until", 0) * US_PER_MS -
+            self->simulation.now_us;
     }
     g_strlcpy(rule.from, strcmp(from, "any") == 0 ? "" : from,
               sizeof(rule.from));
@@ -276,22 +234,25 @@
 {
     struct GbSimNetwork *network = &self->simulation.network;
 
-    if (is_word(self, 1, "all")) {
+    if (GbScenarioWords_Is(self, 1, "all")) {
         GbSimNetwork_Heal(network, "", "");
         return;
     }
-    GbSimNetwork_Heal(network, word(self, 1), word(self, 2));
-    GbSimNetwork_Heal(network, word(self, 2), word(self, 1));
+    GbSimNetwork_Heal(network, GbScenarioWords_At(self, 1),
+                      GbScenarioWords_At(self, 2));
+    GbSimNetwork_Heal(network, GbScenarioWords_At(self, 2),
+                      GbScenarioWords_At(self, 1));
 }
 
 static void
 do_publish(struct GbScenario *self)
 {
     struct GbSimPublication publication = {
-        .revision = (uint64_t)number_after(self, "revision", 0),
-        .variant = (uint32_t)number_after(self, "variant", 0),
-        .slots = (uint32_t)number_after(self, "slots", 0),
-        .in_force_from_us = number_after(self, "from", 0) * US_PER_MS,
+        .revision = (uint64_t)GbScenarioWords_NumberAfter(self, "revision", 0),
+        .variant = (uint32_t)GbScenarioWords_NumberAfter(self, "variant", 0),
+        .slots = (uint32_t)GbScenarioWords_NumberAfter(self, "slots", 0),
+        .in_force_from_us =
+            GbScenarioWords_NumberAfter(self, "from", 0) * US_PER_MS,
     };
 
     GbSimPlatform_Publish(&self->simulation.platform, &publication);
@@ -303,22 +264,22 @@
     const struct GbSimPlatform *platform = &self->simulation.platform;
     struct GbSimFeed *feed = &target->feed;
 
-    if (is_word(self, 1, "down")) {
+    if (GbScenarioWords_Is(self, 1, "down")) {
         feed->is_down = true;
     }
-    else if (is_word(self, 1, "stale")) {
+    else if (GbScenarioWords_Is(self, 1, "stale")) {
         GbSimFeed_SetStale(feed, platform, true);
     }
-    else if (is_word(self, 1, "lagging")) {
+    else if (GbScenarioWords_Is(self, 1, "lagging")) {
         GbSimFeed_SetLagging(feed, platform, true);
     }
-    else if (is_word(self, 1, "up")) {
+    else if (GbScenarioWords_Is(self, 1, "up")) {
         feed->is_down = false;
         GbSimFeed_SetStale(feed, platform, false);
         GbSimFeed_SetLagging(feed, platform, false);
     }
     else {
-        GbScenario_Fail(self, "no state %s", word(self, 1));
+        GbScenario_Fail(self, "no state %s", GbScenarioWords_At(self, 1));
     }
 }
 
@@ -330,7 +291,8 @@
     for (guint i = 0; i < processes->len; i++) {
         struct GbSimProcess *each = processes->pdata[i];
 
-        if (is_word(self, 2, "all") || is_word(self, 2, each->node.name)) {
+        if (GbScenarioWords_Is(self, 2, "all") ||
+            GbScenarioWords_Is(self, 2, each->node.name)) {
             set_feed(self, each);
         }
     }
@@ -339,13 +301,13 @@
 static void
 do_leaving(struct GbScenario *self)
 {
-    GbSimulation_SetLeaving(&self->simulation, word(self, 1));
+    GbSimulation_SetLeaving(&self->simulation, GbScenarioWords_At(self, 1));
 }
 
 static void
 do_unlist(struct GbScenario *self)
 {
-    GbSimulation_Unlist(&self->simulation, word(self, 1));
+    GbSimulation_Unlist(&self->simulation, GbScenarioWords_At(self, 1));
 }
 
 static void
@@ -355,25 +317,29 @@
     struct GbSimTarget *target;
 
     if (found == NULL || found->role != GB_SIM_AGENT) {
-        GbScenario_Fail(self, "%s has no target", word(self, 1));
+        GbScenario_Fail(self, "%s has no target", GbScenarioWords_At(self, 1));
         return;
     }
     target = &found->agent.target;
-    target->work_us =
-        number_after(self, "work", target->work_us / US_PER_MS) * US_PER_MS;
-    target->slots = (uint32_t)number_after(self, "slots", target->slots);
-    target->pack_bytes =
-        (uint32_t)number_after(self, "pack", target->pack_bytes);
-    target->is_shedding =
-        number_after(self, "shedding", target->is_shedding) != 0;
-    target->is_closed = number_after(self, "closed", target->is_closed) != 0;
+    target->work_us = GbScenarioWords_NumberAfter(
+                          self, "work", target->work_us / US_PER_MS) *
+                      US_PER_MS;
+    target->slots =
+        (uint32_t)GbScenarioWords_NumberAfter(self, "slots", target->slots);
+    target->pack_bytes = (uint32_t)GbScenarioWords_NumberAfter(
+        self, "pack", target->pack_bytes);
+    target->is_shedding = GbScenarioWords_NumberAfter(
+                              self, "shedding", target->is_shedding) != 0;
+    target->is_closed =
+        GbScenarioWords_NumberAfter(self, "closed", target->is_closed) != 0;
     target->is_cutting =
-        number_after(self, "cutting", target->is_cutting) != 0;
-    if (after(self, "cold") > 0) {
-        target->cold_until_us = self->simulation.now_us +
-                                number_after(self, "cold", 0) * US_PER_MS;
+        GbScenarioWords_NumberAfter(self, "cutting", target->is_cutting) != 0;
+    if (GbScenarioWords_After(self, "cold") > 0) {
+        target->cold_until_us =
+            self->simulation.now_us +
+            GbScenarioWords_NumberAfter(self, "cold", 0) * US_PER_MS;
     }
-    if (is_word(self, 2, "die")) {
+    if (GbScenarioWords_Is(self, 2, "die")) {
         GbSimTarget_DropAll(target, true);
     }
 }
@@ -382,8 +348,9 @@
 do_clock(struct GbScenario *self)
 {
     struct GbSimProcess *found = process(self, 1);
-    int64_t step_us = number_after(self, "forward", 0) * US_PER_MS -
-                      number_after(self, "back", 0) * US_PER_MS;
+    int64_t step_us =
+        GbScenarioWords_NumberAfter(self, "forward", 0) * US_PER_MS -
+        GbScenarioWords_NumberAfter(self, "back", 0) * US_PER_MS;
 
     if (found != NULL) {
         found->wall_offset_us += step_us;
@@ -394,14 +361,15 @@
 start_calls(struct GbScenario *self, const char *operation)
 {
     struct GbSimProcess *caller = process(self, 1);
-    const char *label = text_after(self, "as", "");
-    int64_t count = number_after(self, "count", 1);
+    const char *label = GbScenarioWords_TextAfter(self, "as", "");
+    int64_t count = GbScenarioWords_NumberAfter(self, "count", 1);
 
     for (int64_t i = 0; i < count && caller != NULL; i++) {
-        if (GbSimulation_Call(&self->simulation, caller, word(self, 2),
-                              operation, label) == NULL) {
-            GbScenario_Fail(self, "%s cannot call %s", word(self, 1),
-                            operation);
+        if (GbSimulation_Call(&self->simulation, caller,
+                              GbScenarioWords_At(self, 2), operation,
+                              label) == NULL) {
+            GbScenario_Fail(self, "%s cannot call %s",
+                            GbScenarioWords_At(self, 1), operation);
             return;
         }
     }
@@ -410,7 +378,7 @@
 static void
 do_call(struct GbScenario *self)
 {
-    start_calls(self, word(self, 3));
+    start_calls(self, GbScenarioWords_At(self, 3));
 }
 
 static void
@@ -424,133 +392,51 @@
 {
     struct GbSimulation *simulation = &self->simulation;
 
-    if (is_word(self, 1, "calls")) {
+    if (GbScenarioWords_Is(self, 1, "calls")) {
         GbSimulation_RunCalls(simulation, simulation->now_us + CALLS_WAIT_US);
     }
-    else if (is_word(self, 1, "until")) {
-        GbSimulation_RunUntil(simulation, number(self, 2) * US_PER_MS);
+    else if (GbScenarioWords_Is(self, 1, "until")) {
+        GbSimulation_RunUntil(simulation,
+                              GbScenarioWords_Number(self, 2) * US_PER_MS);
     }
     else {
-        GbSimulation_RunUntil(simulation, simulation->now_us +
-                                              number(self, 1) * US_PER_MS);
-    }
-}
-
-static void
-expect_call(struct GbScenario *self, const struct GbSimCall *call)
-{
-    static const char *const outcomes[] = {"answered", "not_run", "unknown"};
-    const char *expected = word(self, 2);
-    uint32_t runs = GbSimulation_RunCount(&self->simulation, call->key);
-    const char *outcome =
-        call->deliveries > 0 ? outcomes[call->outcome] : "open";
-
-    if (strcmp(expected, "runs") == 0) {
-        if (runs != number(self, 3)) {
-            GbScenario_Fail(self, "%s ran %u times", call->key, runs);
-        }
-    }
-    else if (strcmp(expected, "within") == 0) {
-        int64_t took_ms = (call->ended_us - call->started_us) / US_PER_MS;
-
-        if (call->deliveries == 0 || took_ms > number(self, 3)) {
-            GbScenario_Fail(self, "%s took %u ms", call->key,
-                            (unsigned)took_ms);
-        }
-    }
-    else if (strcmp(expected, "submissions") == 0) {
-        if (call->submissions > number(self, 3)) {
-            GbScenario_Fail(self, "%s took %u submissions", call->key,
-                            call->submissions);
-        }
-    }
-    else if (strcmp(expected, outcome) != 0 &&
-             strcmp(word(self, 4), outcome) != 0) {
-        GbScenario_Fail(self, "%s is %s", call->key, outcome);
-    }
-}
-
-static bool
-expect_process(struct GbScenario *self, struct GbSimProcess *found)
-{
-    const struct GbDocument *in_force = GbSimFeed_InForce(&found->feed);
-
-    if (is_word(self, 2, "revision")) {
-        if (in_force == NULL ||
-            in_force->revision != (uint64_t)number(self, 3) ||
-            in_force->digest[3] != number_after(self, "variant", 0)) {
-            GbScenario_Fail(self, "%s has revision %u variant %u in force",
-                            found->node.name,
-                            in_force ? (unsigned)in_force->revision : 0,
-                            in_force ? in_force->digest[3] : 0);
-        }
-        return true;
-    }
-    if (is_word(self, 2, "stopped") || is_word(self, 2, "running")) {
-        if ((found->state == GB_SIM_STOPPED) != is_word(self, 2, "stopped")) {
-            GbScenario_Fail(self, "%s is not %s", found->node.name,
-                            word(self, 2));
-        }
-        return true;
-    }
-    if (is_word(self, 2, "runs")) {
-        uint32_t runs = 0;
-
-        for (guint i = 0; i < self->simulation.runs->len; i++) {
-            const struct GbSimRun *run =
-                &g_array_index(self->simulation.runs, struct GbSimRun, i);
-
-            runs += strcmp(run->instance, found->node.name) == 0 ? 1 : 0;
-        }
-        if (runs != number(self, 3)) {
-            GbScenario_Fail(self, "%s ran %u requests", found->node.name,
-                            runs);
-        }
-        return true;
-    }
-    return false;
-}
-
-static void
-do_expect(struct GbScenario *self)
-{
-    struct GbSimProcess *found =
-        GbSimulation_Find(&self->simulation, word(self, 1));
-    bool is_found = found != NULL && expect_process(self, found);
-
-    for (guint i = 0; i < self->simulation.calls->len; i++) {
-        const struct GbSimCall *call = self->simulation.calls->pdata[i];
-
-        if (is_word(self, 1, "all") || is_word(self, 1, call->label)) {
-            is_found = true;
-            expect_call(self, call);
-        }
-    }
-    if (!is_found) {
-        GbScenario_Fail(self, "nothing is called %s", word(self, 1));
+        GbSimulation_RunUntil(simulation,
+                              simulation->now_us +
+                                  GbScenarioWords_Number(self, 1) * US_PER_MS);
     }
 }
 
 static const struct Verb verbs[] = {
-    {"seed", 1, do_seed},         {"start", 2, do_start},
-    {"stop", 1, do_stop},         {"kill", 1, do_kill},
-    {"restart", 1, do_restart},   {"pause", 1, do_pause},
-    {"resume", 1, do_resume},     {"cut", 2, do_cut},
-    {"heal", 1, do_heal},         {"delay", 3, do_delay},
-    {"drop", 2, do_drop},         {"duplicate", 2, do_duplicate},
-    {"reorder", 3, do_reorder},   {"publish", 2, do_publish},
-    {"platform", 2, do_platform}, {"leaving", 1, do_leaving},
-    {"unlist", 1, do_unlist},     {"target", 2, do_target},
-    {"clock", 3, do_clock},       {"call", 3, do_call},
-    {"download", 2, do_download}, {"wait", 1, do_wait},
-    {"expect", 2, do_expect},
+    {"seed", 1, do_seed},
+    {"start", 2, do_start},
+    {"stop", 1, do_stop},
+    {"kill", 1, do_kill},
+    {"restart", 1, do_restart},
+    {"pause", 1, do_pause},
+    {"resume", 1, do_resume},
+    {"cut", 2, do_cut},
+    {"heal", 1, do_heal},
+    {"delay", 3, do_delay},
+    {"drop", 2, do_drop},
+    {"duplicate", 2, do_duplicate},
+    {"reorder", 3, do_reorder},
+    {"publish", 2, do_publish},
+    {"platform", 2, do_platform},
+    {"leaving", 1, do_leaving},
+    {"unlist", 1, do_unlist},
+    {"target", 2, do_target},
+    {"clock", 3, do_clock},
+    {"call", 3, do_call},
+    {"download", 2, do_download},
+    {"wait", 1, do_wait},
+    {"expect", 2, GbScenarioExpect_Do},
 };
 
 void
 GbScenario_DoLine(struct GbScenario *self)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(verbs); i++) {
-        if (is_word(self, 0, verbs[i].name)) {
+        if (GbScenarioWords_Is(self, 0, verbs[i].name)) {
             if (self->word_count <= verbs[i].words_min) {
                 GbScenario_Fail(self, "%s needs %u words", verbs[i].name,
                                 verbs[i].words_min);
@@ -560,5 +446,5 @@
             return;
         }
     }
-    GbScenario_Fail(self, "no verb %s", word(self, 0));
+    GbScenario_Fail(self, "no verb %s", GbScenarioWords_At(self, 0));
 }
--- /dev/null
+++ b/tests/support/scenario_words.c
@@ -0,0 +1,56 @@
+#include "support/scenario_words.h"
+
+#include <string.h>
+
+const char *
+GbScenarioWords_At(const struct GbScenario *self, uint32_t index)
+{
+    return index < self->word_count ? self->words[index].text : "";
+}
+
+bool
+GbScenarioWords_Is(const struct GbScenario *self, uint32_t index,
+                   const char *text)
+{
+    return strcmp(GbScenarioWords_At(self, index), text) == 0;
+}
+
+int64_t
+GbScenarioWords_Number(struct GbScenario *self, uint32_t index)
+{
+    if (index >= self->word_count || !self->words[index].is_number) {
+        GbScenario_Fail(self, "word %u must be a number", index + 1);
+        return 0;
+    }
+    return self->words[index].number;
+}
+
+/* Position of the word after a key; 0 if the key is not there. */
+uint32_t
+GbScenarioWords_After(const struct GbScenario *self, const char *key)
+{
+    for (uint32_t i = 1; i + 1 < self->word_count; i++) {
+        if (GbScenarioWords_Is(self, i, key)) {
+            return i + 1;
+        }
+    }
+    return 0;
+}
+
+const char *
+GbScenarioWords_TextAfter(const struct GbScenario *self, const char *key,
+                          const char *otherwise)
+{
+    uint32_t at = GbScenarioWords_After(self, key);
+
+    return at > 0 ? GbScenarioWords_At(self, at) : otherwise;
+}
+
+int64_t
+GbScenarioWords_NumberAfter(struct GbScenario *self, const char *key,
+                            int64_t otherwise)
+{
+    uint32_t at = GbScenarioWords_After(self, key);
+
+    return at > 0 ? GbScenarioWords_Number(self, at) : otherwise;
+}
--- a/tests/support/sim_process.h
+++ b/tests/support/sim_process.h
@@ -83,6 +83,9 @@
 /* Starts the process with a new incarnation. */
 void GbSimProcess_Start(struct GbSimProcess *self);
 
+/* For sim_io: frees the decisions of a process that was killed. */
+void GbSimProcess_FinishCore(struct GbSimProcess *self);
+
 /* Ends the process at once, even in the middle of what it does. */
 void GbSimProcess_Kill(struct GbSimProcess *self);
 
