Reserve a slot for a token that was just issued

Cause: issuing a token takes no slot, so that one free slot could draw many non-idempotent requests, whose callers come back about 8 ms later.

Change: a token counts as queued work for 20 ms or until its first use, in the choice of a place and in the load that members are told; it never holds back queued work. The timer for slots that become usable also runs while CALLs wait.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -148,6 +148,8 @@
     }
     if (!message->has_token && !operation->is_idempotent) {
         /* The refusal is the handshake: it runs only under the token. */
+        GbReservations_Add(&agent->reservations,
+                           GbClock_MonotonicUs(agent->clock));
         GbReply_NotRun(agent, path, message, GB_NOT_RUN_BIND);
         return;
     }
@@ -202,6 +204,7 @@
 {
     const struct GbOperation *operation =
         GbService_Operation(agent->service, message->call.operation_id);
+    int64_t now_us;
 
     if (operation == NULL ||
         message->call.body.size_bytes > GB_CALL_BODY_BYTES ||
@@ -211,8 +214,10 @@
     if (!GbAgent_TakesNewFlows(agent)) {
         return true;
     }
-    GbSlots_Refresh(&agent->slots, GbClock_MonotonicUs(agent->clock));
-    return !GbSlots_HasRoom(&agent->slots, operation->work_class);
+    now_us = GbClock_MonotonicUs(agent->clock);
+    GbSlots_Refresh(&agent->slots, now_us);
+    GbReservations_Refresh(&agent->reservations, now_us);
+    return !GbAgent_HasRoom(agent, operation->work_class);
 }
 
 struct GbFlow *
@@ -230,6 +235,7 @@
             now_ms < token->issued_ms + GB_TOKEN_FIRST_USE_MS) {
             flow = GbFlowTable_Add(&agent->flows, message->flow_id,
                                    token->issued_ms, now_us);
+            GbReservations_Take(&agent->reservations);
         }
     }
     if (flow == NULL) {
--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -185,6 +185,7 @@
     GbPool_Init(&self->pool);
     GbHandover_Init(&self->handover);
     GbRecentCalls_Init(&self->recent);
+    GbReservations_Init(&self->reservations);
     GbTargetState_Init(&self->target);
     self->alive_us = GB_TIMER_NEVER;
 }
@@ -322,6 +323,14 @@
     return !self->is_draining && !self->target.is_down;
 }
 
+bool
+GbAgent_HasRoom(const struct GbAgent *self, enum GbOperationClass work_class)
+{
+    return GbSlots_HasRoom(&self->slots, work_class) &&
+           GbSlots_Running(&self->slots) + self->reservations.count <
+               self->slots.usable;
+}
+
 bool
 GbAgent_IsPastNewFlows(const struct GbAgent *self, int64_t now_us)
 {
@@ -347,7 +356,7 @@
 {
     struct GbLoad load = {
         .running = GbSlots_Running(&self->slots),
-        .queued = GbSlots_Queued(&self->slots),
+        .queued = GbSlots_Queued(&self->slots) + self->reservations.count,
         /* Members must not hand over to a target that does not connect. */
         .capacity = self->target.is_down ? 0 : self->slots.usable,
         .is_draining = self->is_draining,
@@ -367,7 +376,8 @@
     }
     next_us = MIN(next_us, self->alive_us);
     next_us = MIN(next_us, GbHandover_NextTimerUs(&self->handover));
-    if (GbSlots_Queued(&self->slots) > 0) {
+    if (GbSlots_Queued(&self->slots) > 0 ||
+        self->handover.waiting.length > 0) {
         next_us = MIN(next_us, GbSlots_NextChangeUs(&self->slots));
     }
     return next_us;
--- a/src/coordination/agent.h
+++ b/src/coordination/agent.h
@@ -5,6 +5,7 @@
 #include "coordination/handover.h"
 #include "coordination/pool.h"
 #include "coordination/rate_limit.h"
+#include "coordination/reservations.h"
 #include "coordination/slots.h"
 #include "coordination/target_state.h"
 #include "state/clock.h"
@@ -72,6 +73,7 @@
     struct GbPool pool;
     struct GbHandover handover;
     struct GbRecentCalls recent;
+    struct GbReservations reservations;
     struct GbTargetState target;
     struct GbRateLimit rate;
     int64_t alive_us;
@@ -123,6 +125,11 @@
  * target takes connections. */
 bool GbAgent_TakesNewFlows(const struct GbAgent *self);
 
+/* Whether an unbound CALL of this class should be placed here: a slot is free
+ * that no token holder is about to take. */
+bool GbAgent_HasRoom(const struct GbAgent *self,
+                     enum GbOperationClass work_class);
+
 /* Whether the drain is so far that no new flow may reach the target. */
 bool GbAgent_IsPastNewFlows(const struct GbAgent *self, int64_t now_us);
 
--- a/src/coordination/delivery.c
+++ b/src/coordination/delivery.c
@@ -163,6 +163,8 @@
     struct GbRequest *request;
 
     GbSlots_Refresh(&agent->slots, GbClock_MonotonicUs(agent->clock));
+    GbReservations_Refresh(&agent->reservations,
+                           GbClock_MonotonicUs(agent->clock));
     while (agent->service != NULL &&
            (request = GbSlots_Dequeue(&agent->slots)) != NULL) {
         /* Read for each request: a process that was paused wakes up late. */
--- a/src/coordination/handover.c
+++ b/src/coordination/handover.c
@@ -142,7 +142,7 @@
             agent->service, call->message.call.operation_id);
 
         if (operation == NULL ||
-            GbSlots_HasRoom(&agent->slots, operation->work_class)) {
+            GbAgent_HasRoom(agent, operation->work_class)) {
             return call;
         }
     }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -317,6 +317,79 @@
     }
 }
 
+enum ReservationStep {
+    RESERVATION_KEPT,
+    RESERVATION_USED,
+    RESERVATION_LAPSED,
+};
+
+struct ReservationCase {
+    const char *name;
+    enum ReservationStep step;
+    uint32_t queued;
+    /* Whether another CALL is placed without questions to members. */
+    bool is_placed;
+};
+
+static const struct ReservationCase reservation_cases[] = {
+    {"token not used", RESERVATION_KEPT, 1, false},
+    {"token used and answered", RESERVATION_USED, 0, true},
+    {"token never used", RESERVATION_LAPSED, 0, true},
+};
+
+/* Guards against many tokens for one free slot, whose requests would then
+ * queue here while other members are idle, and against a slot that is kept
+ * for a caller which never comes. */
+static void
+test_reservation(void)
+{
+    static const struct GbLoad idle = {0, 0, 1, false};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reservation_cases); i++) {
+        const struct ReservationCase *row = &reservation_cases[i];
+        struct FixtureSetup setup = {.members = 1};
+        struct GbToken token;
+
+        g_test_message("%s", row->name);
+        AgentFixture_Init(&fixture, &setup);
+        AgentFixture_Alive(&fixture, 1, &idle);
+        token = AgentFixture_Bind(&fixture, 1, 1);
+        if (row->step == RESERVATION_USED) {
+            AgentFixture_Call(&fixture, 1, 2, FIXTURE_BUY, &token);
+            AgentFixture_Answer(&fixture, 0);
+        }
+        if (row->step == RESERVATION_LAPSED) {
+            AgentFixture_Advance(&fixture, 20000);
+        }
+        AgentFixture_Call(&fixture, 2, 1, FIXTURE_BUY, NULL);
+        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
+                         ==, !row->is_placed);
+        g_assert_cmpuint(GbAgent_Load(&fixture.agent).queued, ==,
+                         row->queued + row->is_placed);
+        AgentFixture_Finish(&fixture);
+    }
+}
+
+/* Guards against reservations without a bound. */
+static void
+test_reservation_bound(void)
+{
+    struct GbReservations reservations;
+
+    GbReservations_Init(&reservations);
+    for (int i = 0; i <= GB_RESERVATIONS_MAX; i++) {
+        GbReservations_Add(&reservations, i);
+    }
+    g_assert_cmpuint(reservations.count, ==, GB_RESERVATIONS_MAX);
+    g_assert_cmpuint(GbReservations_Refresh(&reservations, 20009), ==,
+                     GB_RESERVATIONS_MAX - 10);
+    GbReservations_Take(&reservations);
+    g_assert_cmpuint(reservations.count, ==, GB_RESERVATIONS_MAX - 11);
+    g_assert_cmpuint(GbReservations_Refresh(&reservations, 100000), ==, 0);
+    GbReservations_Take(&reservations);
+    g_assert_cmpuint(reservations.count, ==, 0);
+}
+
 struct BodyCase {
     uint32_t size_bytes;
     bool is_busy;
@@ -408,6 +481,8 @@
     g_test_add_func("/admission/request_records", test_request_records);
     g_test_add_func("/admission/rate_refills", test_rate_refills);
     g_test_add_func("/admission/waking_late", test_waking_late);
+    g_test_add_func("/admission/reservation", test_reservation);
+    g_test_add_func("/admission/reservation_bound", test_reservation_bound);
     g_test_add_func("/admission/body_size", test_body_size);
     g_test_add_func("/admission/deadline_while_running",
                     test_deadline_while_running);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -169,8 +169,8 @@
 
 static const struct SlotFreeCase slot_free_cases[] = {
     {"idempotent", FIXTURE_LOOK, false, true, 1},
-    /* Issuing a token takes no slot, so that the second CALL starts. */
-    {"not idempotent", FIXTURE_BUY, false, true, 0},
+    /* The slot is reserved for the token, so that the second CALL goes. */
+    {"not idempotent", FIXTURE_BUY, false, true, 1},
     {"long", FIXTURE_PACK, false, true, 1},
     {"draining", FIXTURE_LOOK, true, false, 2},
 };
@@ -209,6 +209,37 @@
     }
 }
 
+/* Guards against a waiting CALL that is placed twice when several slots become
+ * free at once, here because three shed answers end together. */
+static void
+test_slots_free_together(void)
+{
+    struct FixtureSetup setup = {.members = 1, .slots = 3};
+
+    AgentFixture_Init(&fixture, &setup);
+    for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
+        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+    }
+    AgentFixture_End(&fixture, 0, GB_TARGET_SHED);
+    AgentFixture_End(&fixture, 1, GB_TARGET_SHED);
+    AgentFixture_End(&fixture, 2, GB_TARGET_SHED);
+    AgentFixture_Advance(&fixture, 900000);
+    AgentFixture_Alive(&fixture, 1, &idle);
+    g_assert_cmpuint(GbAgent_Load(&fixture.agent).capacity, ==, 1);
+    AgentFixture_Advance(&fixture, 98000);
+    fixture.started_count = 0;
+    fixture.reply_count = 0;
+    AgentFixture_Call(&fixture, 5, 1, FIXTURE_LOOK, NULL);
+    AgentFixture_Call(&fixture, 6, 1, FIXTURE_LOOK, NULL);
+    AgentFixture_Call(&fixture, 7, 1, FIXTURE_LOOK, NULL);
+    g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 2);
+    AgentFixture_Advance(&fixture, 2000);
+    g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
+    g_assert_cmpuint(fixture.started_count, ==, 3);
+    g_assert_cmpuint(fixture.reply_count, ==, 3);
+    AgentFixture_Finish(&fixture);
+}
+
 /* Guards against waiting CALLs without a bound, and against one that gets no
  * answer when the bound is reached. */
 static void
@@ -509,6 +540,7 @@
     g_test_add_func("/pool/handover", test_handover);
     g_test_add_func("/pool/no_answer", test_no_answer);
     g_test_add_func("/pool/slot_free", test_slot_free);
+    g_test_add_func("/pool/slots_free_together", test_slots_free_together);
     g_test_add_func("/pool/full_waiting_table", test_full_waiting_table);
     g_test_add_func("/pool/duplicate", test_duplicate);
     g_test_add_func("/pool/received", test_received);
