--- a/tests/bench/bench_policy.c
+++ b/tests/bench/bench_policy.c
@@ -21,25 +21,25 @@
 };
 
 static const struct Scenario scenarios[] = {
-    {"agency, short work", 7, 2, 4, 1000, 20 * US_PER_MS, DEMAND_LONG_DECLARED,
+    {"agency, short work", 1000, 20 * US_PER_MS, 7, 2, 4, DEMAND_LONG_DECLARED,
      TROUBLE_NONE, false},
-    {"agency, short work, longer requests not declared", 7, 2, 4, 1000,
-     20 * US_PER_MS, DEMAND_LONG_HIDDEN, TROUBLE_NONE, false},
-    {"franchise, short work", 7, 5, 3, 1500, 20 * US_PER_MS,
+    {"agency, short work, longer requests not declared", 1000, 20 * US_PER_MS,
+     7, 2, 4, DEMAND_LONG_HIDDEN, TROUBLE_NONE, false},
+    {"franchise, short work", 1500, 20 * US_PER_MS, 7, 5, 3,
      DEMAND_LONG_DECLARED, TROUBLE_NONE, false},
-    {"agency, long work", 4, 2, 4, 1000, 1000 * US_PER_MS, DEMAND_LONG_ONLY,
+    {"agency, long work", 1000, 1000 * US_PER_MS, 4, 2, 4, DEMAND_LONG_ONLY,
      TROUBLE_NONE, false},
-    {"franchise, long work", 3, 5, 3, 1500, 1000 * US_PER_MS, DEMAND_LONG_ONLY,
+    {"franchise, long work", 1500, 1000 * US_PER_MS, 3, 5, 3, DEMAND_LONG_ONLY,
      TROUBLE_NONE, false},
-    {"agency, one cold target", 7, 2, 4, 1000, 20 * US_PER_MS,
+    {"agency, one cold target", 1000, 20 * US_PER_MS, 7, 2, 4,
      DEMAND_LONG_DECLARED, TROUBLE_COLD, false},
-    {"agency, one target at a tenth", 7, 2, 4, 1000, 20 * US_PER_MS,
+    {"agency, one target at a tenth", 1000, 20 * US_PER_MS, 7, 2, 4,
      DEMAND_LONG_DECLARED, TROUBLE_SLOW, false},
-    {"agency, stale and misleading reports", 7, 2, 4, 1000, 20 * US_PER_MS,
+    {"agency, stale and misleading reports", 1000, 20 * US_PER_MS, 7, 2, 4,
      DEMAND_LONG_DECLARED, TROUBLE_REPORTS, false},
-    {"franchise, reservations (not idempotent)", 7, 5, 3, 1500, 20 * US_PER_MS,
+    {"franchise, reservations (not idempotent)", 1500, 20 * US_PER_MS, 7, 5, 3,
      DEMAND_LONG_DECLARED, TROUBLE_NONE, true},
-    {"agency, charges (not idempotent)", 7, 2, 4, 1000, 20 * US_PER_MS,
+    {"agency, charges (not idempotent)", 1000, 20 * US_PER_MS, 7, 2, 4,
      DEMAND_LONG_DECLARED, TROUBLE_NONE, true},
 };
 
@@ -64,8 +64,8 @@
            "p99", "p99.9", "p99/o", "in time", "busy", "reqs", "sends",
            "moved", "asks");
     for (int i = 0; i < POLICY_END; i++) {
-        PolicySimulation_Run(scenario, (enum Policy)i, SEED, CYCLES,
-                             &results[i]);
+        policy_simulation_run(scenario, (enum Policy)i, SEED, CYCLES,
+                              &results[i]);
     }
     limit = quantile(&results[POLICY_OMNISCIENT], 0.99);
     for (int i = 0; i < POLICY_END; i++) {
@@ -81,7 +81,7 @@
                (double)result->sends / calls,
                (double)result->handovers / calls,
                (double)result->asks / calls);
-        PolicyResult_Finish(&results[i]);
+        policy_result_finish(&results[i]);
     }
     fflush(stdout);
 }
--- a/tests/support/agent_fixture.c
+++ b/tests/support/agent_fixture.c
@@ -122,10 +122,10 @@
         struct GbInstance *instance = &list->instances[i];
 
         name_of(i, instance->name);
-        instance->id = AgentFixture_InstanceId(i);
+        instance->id = agent_fixture_instance_id(i);
         instance->role = GB_ROLE_AGENT;
         g_strlcpy(instance->service, "desk", GB_NAME_BYTES);
-        instance->address = AgentFixture_Address(i);
+        instance->address = agent_fixture_address(i);
         instance->weight = 1;
         instance->is_leaving = i < 64 && (leaving >> i & 1) != 0;
     }
@@ -141,7 +141,7 @@
 }
 
 void
-AgentFixture_Init(struct AgentFixture *self, const struct FixtureSetup *setup)
+agent_fixture_init(struct AgentFixture *self, const struct FixtureSetup *setup)
 {
     struct GbAgentConfig config = {.incarnation = 1, .service = "desk"};
 
@@ -156,21 +156,21 @@
     GbManualClock_Init(&self->clock, START_US, START_US);
     GbSeededRandom_Init(&self->random, SEED);
     GbCounters_Init(&self->counters);
-    config.instance_id = AgentFixture_InstanceId(0);
-    config.address = AgentFixture_Address(0);
+    config.instance_id = agent_fixture_instance_id(0);
+    config.address = agent_fixture_address(0);
     GbAgent_Init(&self->agent, &config, &self->port, &self->clock.super,
                  &self->random.super, &self->counters);
-    AgentFixture_SetView(self, 0);
+    agent_fixture_set_view(self, 0);
 }
 
 void
-AgentFixture_Finish(struct AgentFixture *self)
+agent_fixture_finish(struct AgentFixture *self)
 {
     GbAgent_Finish(&self->agent);
 }
 
 void
-AgentFixture_SetView(struct AgentFixture *self, uint64_t leaving)
+agent_fixture_set_view(struct AgentFixture *self, uint64_t leaving)
 {
     struct GbDocument *document = new_document(&self->setup);
     struct GbInstanceList *list = new_list(self->setup.members, leaving);
@@ -181,7 +181,7 @@
 }
 
 struct GbAddress
-AgentFixture_Address(uint32_t member)
+agent_fixture_address(uint32_t member)
 {
     struct GbAddress address = {AGENTS_NETWORK + member, AGENT_PORT};
 
@@ -189,7 +189,7 @@
 }
 
 uint64_t
-AgentFixture_InstanceId(uint32_t member)
+agent_fixture_instance_id(uint32_t member)
 {
     char name[GB_NAME_BYTES];
 
@@ -198,34 +198,35 @@
 }
 
 void
-AgentFixture_Receive(struct AgentFixture *self, uint32_t member,
-                     struct GbMessage *message)
+agent_fixture_receive(struct AgentFixture *self, uint32_t member,
+                      struct GbMessage *message)
 {
-    struct GbAddress from = AgentFixture_Address(member);
+    struct GbAddress from = agent_fixture_address(member);
 
     message->service_id = FIXTURE_SERVICE;
     message->has_token = true;
     message->token.service_id = FIXTURE_SERVICE;
-    message->token.instance_id = AgentFixture_InstanceId(member);
+    message->token.instance_id = agent_fixture_instance_id(member);
     message->token.incarnation = member;
     message->token.agent = from;
     GbAgent_ReceiveMember(&self->agent, &from, message);
 }
 
 void
-AgentFixture_Alive(struct AgentFixture *self, uint32_t member,
-                   const struct GbLoad *load)
+agent_fixture_alive(struct AgentFixture *self, uint32_t member,
+                    const struct GbLoad *load)
 {
     struct GbMessage message = {.kind = GB_MESSAGE_ALIVE};
 
     message.alive.load = *load;
-    AgentFixture_Receive(self, member, &message);
+    agent_fixture_receive(self, member, &message);
 }
 
 void
-AgentFixture_Send(struct AgentFixture *self, enum GbMessageKind kind,
-                  uint64_t flow_id, uint32_t request_id,
-                  enum FixtureOperation operation, const struct GbToken *token)
+agent_fixture_send(struct AgentFixture *self, enum GbMessageKind kind,
+                   uint64_t flow_id, uint32_t request_id,
+                   enum FixtureOperation operation,
+                   const struct GbToken *token)
 {
     struct GbMessage message = {.kind = kind};
 
@@ -243,17 +244,17 @@
 }
 
 void
-AgentFixture_Call(struct AgentFixture *self, uint64_t flow_id,
-                  uint32_t request_id, enum FixtureOperation operation,
-                  const struct GbToken *token)
+agent_fixture_call(struct AgentFixture *self, uint64_t flow_id,
+                   uint32_t request_id, enum FixtureOperation operation,
+                   const struct GbToken *token)
 {
-    AgentFixture_Send(self, GB_MESSAGE_CALL, flow_id, request_id, operation,
-                      token);
+    agent_fixture_send(self, GB_MESSAGE_CALL, flow_id, request_id, operation,
+                       token);
 }
 
 void
-AgentFixture_Acknowledge(struct AgentFixture *self, uint64_t flow_id,
-                         uint32_t request_id, const struct GbToken *token)
+agent_fixture_acknowledge(struct AgentFixture *self, uint64_t flow_id,
+                          uint32_t request_id, const struct GbToken *token)
 {
     struct GbMessage message = {.kind = GB_MESSAGE_FETCH};
 
@@ -267,16 +268,16 @@
 }
 
 struct GbToken
-AgentFixture_Bind(struct AgentFixture *self, uint64_t flow_id,
-                  uint32_t request_id)
+agent_fixture_bind(struct AgentFixture *self, uint64_t flow_id,
+                   uint32_t request_id)
 {
-    AgentFixture_Call(self, flow_id, request_id, FIXTURE_BUY, NULL);
-    AgentFixture_AssertNotRun(self, request_id, GB_NOT_RUN_BIND);
-    return AgentFixture_LastReply(self)->token;
+    agent_fixture_call(self, flow_id, request_id, FIXTURE_BUY, NULL);
+    agent_fixture_assert_not_run(self, request_id, GB_NOT_RUN_BIND);
+    return agent_fixture_last_reply(self)->token;
 }
 
 void
-AgentFixture_Answer(struct AgentFixture *self, uint32_t index)
+agent_fixture_answer(struct AgentFixture *self, uint32_t index)
 {
     static const uint8_t data[] = "done";
     struct GbBytes bytes = {data, sizeof(data)};
@@ -288,14 +289,14 @@
 }
 
 void
-AgentFixture_End(struct AgentFixture *self, uint32_t index,
-                 enum GbTargetEnd end)
+agent_fixture_end(struct AgentFixture *self, uint32_t index,
+                  enum GbTargetEnd end)
 {
     GbAgent_TargetEnded(&self->agent, self->started[index].work_id, end);
 }
 
 void
-AgentFixture_Advance(struct AgentFixture *self, int64_t delta_us)
+agent_fixture_advance(struct AgentFixture *self, int64_t delta_us)
 {
     int64_t until_us = self->clock.monotonic_us + delta_us;
 
@@ -316,23 +317,23 @@
 }
 
 void
-AgentFixture_Pause(struct AgentFixture *self, int64_t delta_us)
+agent_fixture_pause(struct AgentFixture *self, int64_t delta_us)
 {
     GbManualClock_Advance(&self->clock, delta_us);
 }
 
 const struct GbMessage *
-AgentFixture_LastReply(const struct AgentFixture *self)
+agent_fixture_last_reply(const struct AgentFixture *self)
 {
     g_assert_cmpuint(self->reply_count, >, 0);
     return &self->replies[self->reply_count - 1];
 }
 
 void
-AgentFixture_AssertNotRun(const struct AgentFixture *self, uint32_t request_id,
-                          enum GbNotRunReason reason)
+agent_fixture_assert_not_run(const struct AgentFixture *self,
+                             uint32_t request_id, enum GbNotRunReason reason)
 {
-    const struct GbMessage *reply = AgentFixture_LastReply(self);
+    const struct GbMessage *reply = agent_fixture_last_reply(self);
 
     g_assert_cmpstr(GbMessage_KindName(reply->kind), ==, "NOT_RUN");
     g_assert_cmpuint(reply->request_id, ==, request_id);
@@ -341,10 +342,10 @@
 }
 
 void
-AgentFixture_AssertUnknown(const struct AgentFixture *self,
-                           uint32_t request_id, enum GbUnknownReason reason)
+agent_fixture_assert_unknown(const struct AgentFixture *self,
+                             uint32_t request_id, enum GbUnknownReason reason)
 {
-    const struct GbMessage *reply = AgentFixture_LastReply(self);
+    const struct GbMessage *reply = agent_fixture_last_reply(self);
 
     g_assert_cmpstr(GbMessage_KindName(reply->kind), ==, "UNKNOWN");
     g_assert_cmpuint(reply->request_id, ==, request_id);
@@ -353,8 +354,8 @@
 }
 
 uint32_t
-AgentFixture_CountSent(const struct AgentFixture *self,
-                       enum GbMessageKind kind)
+agent_fixture_count_sent(const struct AgentFixture *self,
+                         enum GbMessageKind kind)
 {
     uint32_t count = 0;
 
@@ -365,7 +366,8 @@
 }
 
 const struct FixtureSent *
-AgentFixture_LastSent(const struct AgentFixture *self, enum GbMessageKind kind)
+agent_fixture_last_sent(const struct AgentFixture *self,
+                        enum GbMessageKind kind)
 {
     for (uint32_t i = self->sent_count; i > 0; i--) {
         if (self->sent[i - 1].message.kind == kind) {
@@ -376,10 +378,10 @@
 }
 
 void
-AgentFixture_Report(struct AgentFixture *self, const struct GbLoad *loads)
+agent_fixture_report(struct AgentFixture *self, const struct GbLoad *loads)
 {
     const struct FixtureSent *last =
-        AgentFixture_LastSent(self, GB_MESSAGE_LOAD_ASK);
+        agent_fixture_last_sent(self, GB_MESSAGE_LOAD_ASK);
     uint32_t ask_id;
     uint32_t sent_count = self->sent_count;
 
@@ -395,7 +397,7 @@
 
             report.load.ask_id = ask_id;
             report.load.load = loads[member];
-            AgentFixture_Receive(self, member, &report);
+            agent_fixture_receive(self, member, &report);
         }
     }
 }
--- a/tests/support/agent_fixture.h
+++ b/tests/support/agent_fixture.h
@@ -53,85 +53,85 @@
 
 /* Starts an agent, with zero fields of setup replaced by large limits, one
  * slot and no ramp. No member has been heard yet. */
-void AgentFixture_Init(struct AgentFixture *self,
-                       const struct FixtureSetup *setup);
+void agent_fixture_init(struct AgentFixture *self,
+                        const struct FixtureSetup *setup);
 
-void AgentFixture_Finish(struct AgentFixture *self);
+void agent_fixture_finish(struct AgentFixture *self);
 
 /* Publishes a view. A bit of leaving marks an instance; bit 0 is the agent
  * itself and bit i the member i. */
-void AgentFixture_SetView(struct AgentFixture *self, uint64_t leaving);
+void agent_fixture_set_view(struct AgentFixture *self, uint64_t leaving);
 
 /* Address and instance id of a member, from 1. */
-struct GbAddress AgentFixture_Address(uint32_t member);
-uint64_t AgentFixture_InstanceId(uint32_t member);
+struct GbAddress agent_fixture_address(uint32_t member);
+uint64_t agent_fixture_instance_id(uint32_t member);
 
 /* Delivers a message of a member. */
-void AgentFixture_Receive(struct AgentFixture *self, uint32_t member,
-                          struct GbMessage *message);
+void agent_fixture_receive(struct AgentFixture *self, uint32_t member,
+                           struct GbMessage *message);
 
 /* Delivers an ALIVE of a member. */
-void AgentFixture_Alive(struct AgentFixture *self, uint32_t member,
-                        const struct GbLoad *load);
+void agent_fixture_alive(struct AgentFixture *self, uint32_t member,
+                         const struct GbLoad *load);
 
 /* Delivers a message of a caller under token, which may be NULL. */
-void AgentFixture_Send(struct AgentFixture *self, enum GbMessageKind kind,
-                       uint64_t flow_id, uint32_t request_id,
-                       enum FixtureOperation operation,
-                       const struct GbToken *token);
+void agent_fixture_send(struct AgentFixture *self, enum GbMessageKind kind,
+                        uint64_t flow_id, uint32_t request_id,
+                        enum FixtureOperation operation,
+                        const struct GbToken *token);
 
 /* Delivers a CALL of a caller. */
-void AgentFixture_Call(struct AgentFixture *self, uint64_t flow_id,
-                       uint32_t request_id, enum FixtureOperation operation,
-                       const struct GbToken *token);
+void agent_fixture_call(struct AgentFixture *self, uint64_t flow_id,
+                        uint32_t request_id, enum FixtureOperation operation,
+                        const struct GbToken *token);
 
 /* Delivers a FETCH that acknowledges the whole answer and asks for nothing. */
-void AgentFixture_Acknowledge(struct AgentFixture *self, uint64_t flow_id,
-                              uint32_t request_id,
-                              const struct GbToken *token);
+void agent_fixture_acknowledge(struct AgentFixture *self, uint64_t flow_id,
+                               uint32_t request_id,
+                               const struct GbToken *token);
 
 /* Binds a flow with FIXTURE_BUY and returns its token. */
-struct GbToken AgentFixture_Bind(struct AgentFixture *self, uint64_t flow_id,
-                                 uint32_t request_id);
+struct GbToken agent_fixture_bind(struct AgentFixture *self, uint64_t flow_id,
+                                  uint32_t request_id);
 
 /* The target answers work with a few bytes and ends it. The index counts
  * works in the order of their start. */
-void AgentFixture_Answer(struct AgentFixture *self, uint32_t index);
+void agent_fixture_answer(struct AgentFixture *self, uint32_t index);
 
-void AgentFixture_End(struct AgentFixture *self, uint32_t index,
-                      enum GbTargetEnd end);
+void agent_fixture_end(struct AgentFixture *self, uint32_t index,
+                       enum GbTargetEnd end);
 
 /* Moves the clock and ticks whenever the agent asks for it. */
-void AgentFixture_Advance(struct AgentFixture *self, int64_t delta_us);
+void agent_fixture_advance(struct AgentFixture *self, int64_t delta_us);
 
 /* Moves the clock without ticks, as when the process was paused. */
-void AgentFixture_Pause(struct AgentFixture *self, int64_t delta_us);
+void agent_fixture_pause(struct AgentFixture *self, int64_t delta_us);
 
 /* Latest reply to a caller; fails the test if there is none. */
 const struct GbMessage *
-AgentFixture_LastReply(const struct AgentFixture *self);
+agent_fixture_last_reply(const struct AgentFixture *self);
 
 /* Fails the test unless the latest reply is a NOT_RUN or an UNKNOWN with this
  * reason for the request. */
-void AgentFixture_AssertNotRun(const struct AgentFixture *self,
-                               uint32_t request_id,
-                               enum GbNotRunReason reason);
-void AgentFixture_AssertUnknown(const struct AgentFixture *self,
-                                uint32_t request_id,
-                                enum GbUnknownReason reason);
+void agent_fixture_assert_not_run(const struct AgentFixture *self,
+                                  uint32_t request_id,
+                                  enum GbNotRunReason reason);
+void agent_fixture_assert_unknown(const struct AgentFixture *self,
+                                  uint32_t request_id,
+                                  enum GbUnknownReason reason);
 
 /* Messages of one kind sent to members since the start. */
-uint32_t AgentFixture_CountSent(const struct AgentFixture *self,
-                                enum GbMessageKind kind);
+uint32_t agent_fixture_count_sent(const struct AgentFixture *self,
+                                  enum GbMessageKind kind);
 
 /* Latest message of one kind sent to a member; NULL if there is none. */
 const struct FixtureSent *
-AgentFixture_LastSent(const struct AgentFixture *self,
-                      enum GbMessageKind kind);
+agent_fixture_last_sent(const struct AgentFixture *self,
+                        enum GbMessageKind kind);
 
 /* Answers the latest question for load in the name of every member asked.
  * loads is indexed by member, from 1. */
-void AgentFixture_Report(struct AgentFixture *self,
-                         const struct GbLoad *loads);
+void agent_fixture_report(struct AgentFixture *self,
+                          const struct GbLoad *loads);
 
 #endif
--- a/tests/support/event_queue.c
+++ b/tests/support/event_queue.c
@@ -38,20 +38,20 @@
 }
 
 void
-EventQueue_Init(struct EventQueue *self)
+event_queue_init(struct EventQueue *self)
 {
     self->heap = g_ptr_array_new_with_free_func(g_free);
     self->last_number = 0;
 }
 
 void
-EventQueue_Finish(struct EventQueue *self)
+event_queue_finish(struct EventQueue *self)
 {
     g_ptr_array_free(self->heap, TRUE);
 }
 
 void
-EventQueue_Post(struct EventQueue *self, struct Event *event, int64_t at_us)
+event_queue_post(struct EventQueue *self, struct Event *event, int64_t at_us)
 {
     guint at = self->heap->len;
 
@@ -66,7 +66,7 @@
 }
 
 struct Event *
-EventQueue_Take(struct EventQueue *self)
+event_queue_take(struct EventQueue *self)
 {
     struct Event *first;
 
--- a/tests/support/event_queue.h
+++ b/tests/support/event_queue.h
@@ -18,15 +18,15 @@
     uint64_t last_number;
 };
 
-void EventQueue_Init(struct EventQueue *self);
+void event_queue_init(struct EventQueue *self);
 
 /* Frees all events with g_free. */
-void EventQueue_Finish(struct EventQueue *self);
+void event_queue_finish(struct EventQueue *self);
 
-void EventQueue_Post(struct EventQueue *self, struct Event *event,
-                     int64_t at_us);
+void event_queue_post(struct EventQueue *self, struct Event *event,
+                      int64_t at_us);
 
 /* Earliest event; NULL if there is none. Whoever takes it frees it. */
-struct Event *EventQueue_Take(struct EventQueue *self);
+struct Event *event_queue_take(struct EventQueue *self);
 
 #endif
--- a/tests/support/policy_hosts.c
+++ b/tests/support/policy_hosts.c
@@ -81,7 +81,7 @@
 }
 
 static int64_t
-delay_us(struct Fleet *fleet, uint32_t from, uint32_t to)
+delay_us(struct PolicyFleet *fleet, uint32_t from, uint32_t to)
 {
     uint32_t centres = fleet->scenario->data_centres;
     int64_t base_us = from % centres == to % centres
@@ -92,10 +92,10 @@
 }
 
 static void
-post(struct Fleet *fleet, struct Event *event, int64_t after_us)
+post(struct PolicyFleet *fleet, struct Event *event, int64_t after_us)
 {
-    EventQueue_Post(&fleet->events, event,
-                    fleet->clock.monotonic_us + after_us);
+    event_queue_post(&fleet->events, event,
+                     fleet->clock.monotonic_us + after_us);
 }
 
 static void
@@ -107,7 +107,7 @@
     if (host->wake_us == event->at_us) {
         host->wake_us = GB_TIMER_NEVER;
         GbAgent_Tick(&host->agent);
-        Fleet_Arm(host);
+        policy_fleet_arm(host);
     }
 }
 
@@ -134,19 +134,20 @@
         wake->super.run = wake_caller;
         wake->caller = caller;
         caller->wake_us = MAX(next_us, caller->fleet->clock.monotonic_us);
-        EventQueue_Post(&caller->fleet->events, &wake->super, caller->wake_us);
+        event_queue_post(&caller->fleet->events, &wake->super,
+                         caller->wake_us);
     }
 }
 
 static struct Host *
-host_at(struct Fleet *fleet, const struct GbAddress *address)
+host_at(struct PolicyFleet *fleet, const struct GbAddress *address)
 {
     return &fleet->hosts[address->ipv4 - AGENTS_NETWORK];
 }
 
 /* Least loaded host now; a random one of several. */
 static struct Host *
-least_loaded(struct Fleet *fleet)
+least_loaded(struct PolicyFleet *fleet)
 {
     struct Host *best = NULL;
     struct GbLoad best_load = {0};
@@ -183,7 +184,7 @@
     else {
         GbAgent_Receive(&host->agent, &datagram->path, &datagram->message);
     }
-    Fleet_Arm(host);
+    policy_fleet_arm(host);
 }
 
 static void
@@ -199,7 +200,7 @@
 /* Host of an unbound CALL; NULL for the one that is least loaded on arrival.
  */
 static struct Host *
-route_unbound(struct Fleet *fleet, const struct GbMessage *message)
+route_unbound(struct PolicyFleet *fleet, const struct GbMessage *message)
 {
     uint32_t count = fleet->scenario->hosts;
     struct Host *a =
@@ -233,8 +234,9 @@
 arrive_at_balancer(struct Event *event, void *context)
 {
     struct Datagram *datagram = (struct Datagram *)event;
-    struct Fleet *fleet = context;
+    struct PolicyFleet *fleet = context;
     struct Datagram *forwarded;
+    uint32_t to;
 
     if (datagram->caller != NULL) {
         GbBalancer_Heard(&fleet->balancer,
@@ -245,19 +247,21 @@
         post(fleet, &forwarded->super, CALLER_DELAY_US);
         return;
     }
-    if (datagram->message.has_token) {
-        memcpy(&datagram->message.token, datagram->message.sealed_token,
-               sizeof(struct GbToken));
-    }
     forwarded = new_datagram(&datagram->message);
     forwarded->super.run = arrive_at_host;
     forwarded->path = datagram->path;
-    forwarded->host = datagram->message.has_token
-                          ? host_at(fleet, &datagram->message.token.agent)
-                          : route_unbound(fleet, &datagram->message);
+    if (datagram->message.has_token) {
+        memcpy(&forwarded->message.token, datagram->message.sealed_token,
+               sizeof(struct GbToken));
+        forwarded->host = host_at(fleet, &forwarded->message.token.agent);
+        to = forwarded->host->index;
+    }
+    else {
+        forwarded->host = route_unbound(fleet, &datagram->message);
+        to = forwarded->host != NULL ? forwarded->host->index : 0;
+    }
     post(fleet, &forwarded->super,
-         delay_us(fleet, datagram->path.balancer.ipv4,
-                  forwarded->host != NULL ? forwarded->host->index : 0));
+         delay_us(fleet, datagram->path.balancer.ipv4, to));
 }
 
 static void
@@ -366,7 +370,7 @@
     GbAgent_TargetSent(&self->agent, end->work_id, bytes);
     GbAgent_TargetEnded(&self->agent, end->work_id, GB_TARGET_WHOLE);
     run_waiting(self);
-    Fleet_Arm(self);
+    policy_fleet_arm(self);
 }
 
 static void
@@ -481,7 +485,7 @@
 }
 
 static void
-init_host(struct Fleet *fleet, uint32_t index)
+init_host(struct PolicyFleet *fleet, uint32_t index)
 {
     struct Host *self = &fleet->hosts[index];
     struct GbAgentConfig config = {.incarnation = 1, .service = "work"};
@@ -504,19 +508,19 @@
     GbAgent_SetView(&self->agent,
                     new_view(fleet->document, is_pooled ? 0 : index,
                              is_pooled ? fleet->scenario->hosts : 1));
-    Fleet_Arm(self);
+    policy_fleet_arm(self);
 }
 
 void
-Fleet_Init(struct Fleet *self, const struct Scenario *scenario,
-           enum Policy policy, uint64_t seed)
+policy_fleet_init(struct PolicyFleet *self, const struct Scenario *scenario,
+                  enum Policy policy, uint64_t seed)
 {
     memset(self, 0, sizeof(*self));
     self->scenario = scenario;
     self->policy = policy;
     GbManualClock_Init(&self->clock, 1000000, 1000000);
     GbSeededRandom_Init(&self->random, seed);
-    EventQueue_Init(&self->events);
+    event_queue_init(&self->events);
     GbCounters_Init(&self->counters);
     self->document = new_document(scenario, policy);
     GbBalancer_Init(&self->balancer, &self->clock.super, &self->counters);
@@ -539,7 +543,7 @@
 }
 
 void
-Fleet_Finish(struct Fleet *self)
+policy_fleet_finish(struct PolicyFleet *self)
 {
     for (uint32_t i = 0; i < CALLERS; i++) {
         GbCaller_Finish(&self->callers[i].caller);
@@ -550,13 +554,14 @@
         g_hash_table_destroy(self->hosts[i].works);
     }
     GbBalancer_Finish(&self->balancer);
-    EventQueue_Finish(&self->events);
+    event_queue_finish(&self->events);
     GbDocument_Unref(self->document);
 }
 
 void
-Fleet_Call(struct Fleet *self, uint32_t caller, struct GbCallerFlow *flow,
-           int64_t service_us, bool is_longer, void *context)
+policy_fleet_call(struct PolicyFleet *self, uint32_t caller,
+                  struct GbCallerFlow *flow, int64_t service_us,
+                  bool is_longer, void *context)
 {
     struct CallerHost *host = &self->callers[caller];
     struct GbBytes body = {(const uint8_t *)&service_us, sizeof(service_us)};
@@ -569,7 +574,7 @@
 }
 
 void
-Fleet_Report(struct Fleet *self)
+policy_fleet_report(struct PolicyFleet *self)
 {
     for (uint32_t i = 0; i < self->scenario->hosts; i++) {
         struct Host *host = &self->hosts[i];
@@ -585,7 +590,7 @@
 }
 
 void
-Fleet_Arm(struct Host *host)
+policy_fleet_arm(struct Host *host)
 {
     int64_t next_us = GbAgent_NextTimerUs(&host->agent);
 
@@ -595,12 +600,12 @@
         wake->super.run = wake_host;
         wake->host = host;
         host->wake_us = MAX(next_us, host->fleet->clock.monotonic_us);
-        EventQueue_Post(&host->fleet->events, &wake->super, host->wake_us);
+        event_queue_post(&host->fleet->events, &wake->super, host->wake_us);
     }
 }
 
 void
-Fleet_ResetLoad(struct Fleet *self)
+policy_fleet_reset_load(struct PolicyFleet *self)
 {
     for (uint32_t i = 0; i < self->scenario->hosts; i++) {
         self->hosts[i].busy_us = 0;
--- a/tests/support/policy_hosts.h
+++ b/tests/support/policy_hosts.h
@@ -11,12 +11,12 @@
 #define CALLERS 16
 #define SERVICE_ID 1
 
-struct Fleet;
+struct PolicyFleet;
 
 /* Agent and its target. */
 struct Host {
     struct GbAgentPort port;
-    struct Fleet *fleet;
+    struct PolicyFleet *fleet;
     uint32_t index;
     struct GbAgent agent;
     struct GbCounters counters;
@@ -26,7 +26,7 @@
     /* Work that waits for a slot of the target. */
     GQueue waiting;
     uint32_t active;
-    /* Since the last call of Fleet_ResetLoad. */
+    /* Since the last call of policy_fleet_reset_load. */
     int64_t busy_us;
     uint32_t started;
     struct GbLoad reported;
@@ -34,14 +34,14 @@
 
 struct CallerHost {
     struct GbCallerPort port;
-    struct Fleet *fleet;
+    struct PolicyFleet *fleet;
     uint32_t index;
     struct GbCaller caller;
     int64_t wake_us;
 };
 
 /* Hosts, callers and the network between them. */
-struct Fleet {
+struct PolicyFleet {
     const struct Scenario *scenario;
     enum Policy policy;
     struct GbManualClock clock;
@@ -58,22 +58,24 @@
     void (*delivered)(void *context, const struct GbResult *result);
 };
 
-void Fleet_Init(struct Fleet *self, const struct Scenario *scenario,
-                enum Policy policy, uint64_t seed);
+void policy_fleet_init(struct PolicyFleet *self,
+                       const struct Scenario *scenario, enum Policy policy,
+                       uint64_t seed);
 
-void Fleet_Finish(struct Fleet *self);
+void policy_fleet_finish(struct PolicyFleet *self);
 
 /* Starts a call on a flow of its own. is_longer is set for the 1 in 100 that
  * takes 50 times longer. delivered is given context. */
-void Fleet_Call(struct Fleet *self, uint32_t caller, struct GbCallerFlow *flow,
-                int64_t service_us, bool is_longer, void *context);
+void policy_fleet_call(struct PolicyFleet *self, uint32_t caller,
+                       struct GbCallerFlow *flow, int64_t service_us,
+                       bool is_longer, void *context);
 
 /* Publishes the load that every host reports to POLICY_TWO_CHOICES. */
-void Fleet_Report(struct Fleet *self);
+void policy_fleet_report(struct PolicyFleet *self);
 
 /* Sets the agent's timer after the agent was called from outside. */
-void Fleet_Arm(struct Host *host);
+void policy_fleet_arm(struct Host *host);
 
-void Fleet_ResetLoad(struct Fleet *self);
+void policy_fleet_reset_load(struct PolicyFleet *self);
 
 #endif
--- a/tests/support/policy_simulation.c
+++ b/tests/support/policy_simulation.c
@@ -33,7 +33,7 @@
 
 struct Simulation {
     const struct Scenario *scenario;
-    struct Fleet fleet;
+    struct PolicyFleet fleet;
     /* Apart from the fleet's, so that every policy meets the same demand. */
     struct GbSeededRandom demand;
     int64_t start_us;
@@ -106,7 +106,7 @@
 
     mark->super.run = run;
     mark->simulation = self;
-    EventQueue_Post(&self->fleet.events, &mark->super, at_us);
+    event_queue_post(&self->fleet.events, &mark->super, at_us);
 }
 
 static void
@@ -158,10 +158,10 @@
                                 .operations[0]
                                 .deadline_ms *
                             1000;
-        Fleet_Call(&self->fleet, caller, &call->flow,
-                   (int64_t)(size * factor * (double)self->scenario->mean_us) +
-                       1,
-                   is_longer, call);
+        policy_fleet_call(
+            &self->fleet, caller, &call->flow,
+            (int64_t)(size * factor * (double)self->scenario->mean_us) + 1,
+            is_longer, call);
     }
 }
 
@@ -171,7 +171,7 @@
     struct Simulation *self = ((struct Mark *)event)->simulation;
 
     (void)context;
-    Fleet_Report(&self->fleet);
+    policy_fleet_report(&self->fleet);
     if (now(self) < self->end_us) {
         post(self, report,
              now(self) + (self->scenario->trouble == TROUBLE_REPORTS
@@ -193,7 +193,7 @@
     struct Simulation *self = ((struct Mark *)event)->simulation;
 
     (void)context;
-    Fleet_ResetLoad(&self->fleet);
+    policy_fleet_reset_load(&self->fleet);
     if (self->scenario->trouble == TROUBLE_COLD) {
         struct Host *host = &self->fleet.hosts[0];
 
@@ -202,7 +202,7 @@
         GbAgent_TargetHealth(&host->agent, GB_HEALTH_REFUSED);
         GbSlots_StartRamp(&host->agent.slots, now(self));
         GbAgent_TargetHealth(&host->agent, GB_HEALTH_OK);
-        Fleet_Arm(host);
+        policy_fleet_arm(host);
     }
     if (now(self) + CYCLE_US < self->end_us) {
         post(self, begin_crest, now(self) + CYCLE_US);
@@ -269,9 +269,9 @@
 }
 
 void
-PolicySimulation_Run(const struct Scenario *scenario, enum Policy policy,
-                     uint64_t seed, uint32_t cycles,
-                     struct PolicyResult *result)
+policy_simulation_run(const struct Scenario *scenario, enum Policy policy,
+                      uint64_t seed, uint32_t cycles,
+                      struct PolicyResult *result)
 {
     struct Simulation *self = g_new0(struct Simulation, 1);
     double mean_us =
@@ -284,7 +284,7 @@
     self->result = result;
     self->crest_per_us =
         CREST_LOAD * scenario->hosts * scenario->slots / mean_us;
-    Fleet_Init(&self->fleet, scenario, policy, seed + 1);
+    policy_fleet_init(&self->fleet, scenario, policy, seed + 1);
     self->fleet.delivered = delivered;
     GbSeededRandom_Init(&self->demand, seed);
     self->start_us = now(self);
@@ -296,7 +296,7 @@
     post(self, report, self->start_us);
     post(self, begin_crest, self->start_us + RISE_US);
     post(self, end_window, self->start_us + RISE_US + WINDOW_US);
-    while ((event = EventQueue_Take(&self->fleet.events)) != NULL &&
+    while ((event = event_queue_take(&self->fleet.events)) != NULL &&
            event->at_us < self->end_us) {
         GbManualClock_Advance(&self->fleet.clock, event->at_us - now(self));
         event->run(event, &self->fleet);
@@ -304,12 +304,12 @@
     }
     g_free(event);
     collect(self);
-    Fleet_Finish(&self->fleet);
+    policy_fleet_finish(&self->fleet);
     g_free(self);
 }
 
 void
-PolicyResult_Finish(struct PolicyResult *result)
+policy_result_finish(struct PolicyResult *result)
 {
     g_array_free(result->latencies, TRUE);
 }
--- a/tests/support/policy_simulation.h
+++ b/tests/support/policy_simulation.h
@@ -46,12 +46,12 @@
 
 struct Scenario {
     const char *name;
-    uint32_t hosts;
-    uint32_t slots;
-    uint32_t data_centres;
     /* One way, between data centres. */
     int64_t delay_us;
     int64_t mean_us;
+    uint32_t hosts;
+    uint32_t slots;
+    uint32_t data_centres;
     enum Demand demand;
     enum Trouble trouble;
     bool is_non_idempotent;
@@ -74,10 +74,10 @@
 
 /* Runs the demand of a scenario under one policy with the decision cores of
  * balancers, agents and callers. The demand depends on seed only. */
-void PolicySimulation_Run(const struct Scenario *scenario, enum Policy policy,
-                          uint64_t seed, uint32_t cycles,
-                          struct PolicyResult *result);
+void policy_simulation_run(const struct Scenario *scenario, enum Policy policy,
+                           uint64_t seed, uint32_t cycles,
+                           struct PolicyResult *result);
 
-void PolicyResult_Finish(struct PolicyResult *result);
+void policy_result_finish(struct PolicyResult *result);
 
 #endif
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -10,16 +10,16 @@
 static void
 limit_flows(void)
 {
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
 }
 
 static void
 limit_rate(void)
 {
     for (uint64_t flow_id = 1; flow_id <= 4; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
-        AgentFixture_Answer(&fixture, (uint32_t)flow_id - 1);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_answer(&fixture, (uint32_t)flow_id - 1);
     }
 }
 
@@ -28,18 +28,18 @@
 {
     /* One runs and two wait. */
     for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
     }
 }
 
 static void
 learn_slowness(void)
 {
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Advance(&fixture, 20000000);
-    AgentFixture_Answer(&fixture, 0);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Call(&fixture, 3, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_PACK, NULL);
+    agent_fixture_advance(&fixture, 20000000);
+    agent_fixture_answer(&fixture, 0);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 3, 1, FIXTURE_PACK, NULL);
 }
 
 static void
@@ -124,18 +124,18 @@
         uint32_t started_count;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &row->setup);
+        agent_fixture_init(&fixture, &row->setup);
         row->prepare();
         started_count = fixture.started_count;
-        AgentFixture_Call(&fixture, 100, 1, row->operation, NULL);
-        AgentFixture_AssertNotRun(&fixture, 1, row->reason);
-        g_assert_true(AgentFixture_LastReply(&fixture)->has_token ==
+        agent_fixture_call(&fixture, 100, 1, row->operation, NULL);
+        agent_fixture_assert_not_run(&fixture, 1, row->reason);
+        g_assert_true(agent_fixture_last_reply(&fixture)->has_token ==
                       (row->reason == GB_NOT_RUN_BIND));
         g_assert_cmpuint(fixture.started_count, ==, started_count);
         if (row->counter != GB_COUNTER_END) {
             g_assert_cmpuint(fixture.counters.values[row->counter], ==, 1);
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -163,20 +163,20 @@
         struct FixtureSetup setup = {0};
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-        AgentFixture_End(&fixture, 0, row->end);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_end(&fixture, 0, row->end);
         if (row->reply == GB_MESSAGE_NOT_RUN) {
-            AgentFixture_AssertNotRun(&fixture, 1,
-                                      (enum GbNotRunReason)row->reason);
+            agent_fixture_assert_not_run(&fixture, 1,
+                                         (enum GbNotRunReason)row->reason);
         }
         else {
-            AgentFixture_AssertUnknown(&fixture, 1,
-                                       (enum GbUnknownReason)row->reason);
+            agent_fixture_assert_unknown(&fixture, 1,
+                                         (enum GbUnknownReason)row->reason);
         }
-        AgentFixture_Advance(&fixture, 5000000);
+        agent_fixture_advance(&fixture, 5000000);
         g_assert_cmpuint(fixture.started_count, ==, 1);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -216,17 +216,17 @@
         const struct BoundCase *row = &bound_cases[i];
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &row->setup);
+        agent_fixture_init(&fixture, &row->setup);
         for (uint32_t n = 1; n <= row->admitted; n++) {
-            AgentFixture_Call(&fixture, row->is_one_flow ? 1 : n, n,
-                              FIXTURE_LOOK, NULL);
+            agent_fixture_call(&fixture, row->is_one_flow ? 1 : n, n,
+                               FIXTURE_LOOK, NULL);
             g_assert_cmpuint(
                 fixture.counters.values[GB_COUNTER_REQUESTS_ADMITTED], ==, n);
         }
-        AgentFixture_Call(&fixture, row->is_one_flow ? 1 : row->admitted + 1,
-                          row->admitted + 1, FIXTURE_LOOK, NULL);
-        AgentFixture_AssertNotRun(&fixture, row->admitted + 1, row->reason);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_call(&fixture, row->is_one_flow ? 1 : row->admitted + 1,
+                           row->admitted + 1, FIXTURE_LOOK, NULL);
+        agent_fixture_assert_not_run(&fixture, row->admitted + 1, row->reason);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -237,14 +237,14 @@
 {
     struct FixtureSetup setup = {.slots = 1};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     fixture.agent.request_count = REQUESTS_MAX - 1;
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                     GB_MESSAGE_ACCEPTED);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_BUSY);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_BUSY);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against a rate that never recovers or that a pause lets through at
@@ -300,20 +300,20 @@
         struct FixtureSetup setup = {0};
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
+        agent_fixture_init(&fixture, &setup);
         for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
-            AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+            agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
         }
-        AgentFixture_Pause(&fixture, row->pause_us);
-        AgentFixture_Answer(&fixture, 0);
+        agent_fixture_pause(&fixture, row->pause_us);
+        agent_fixture_answer(&fixture, 0);
         g_assert_cmpuint(fixture.started_count, ==, row->started);
         if (row->started == 1) {
-            AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_DEADLINE);
+            agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_DEADLINE);
             g_assert_cmpuint(
                 fixture.counters.values[GB_COUNTER_DEADLINE_REFUSED], ==, 2);
         }
         GbAgent_Tick(&fixture.agent);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -351,22 +351,23 @@
         struct GbToken token;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Alive(&fixture, 1, &idle);
-        token = AgentFixture_Bind(&fixture, 1, 1);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_alive(&fixture, 1, &idle);
+        token = agent_fixture_bind(&fixture, 1, 1);
         if (row->step == RESERVATION_USED) {
-            AgentFixture_Call(&fixture, 1, 2, FIXTURE_BUY, &token);
-            AgentFixture_Answer(&fixture, 0);
+            agent_fixture_call(&fixture, 1, 2, FIXTURE_BUY, &token);
+            agent_fixture_answer(&fixture, 0);
         }
         if (row->step == RESERVATION_LAPSED) {
-            AgentFixture_Advance(&fixture, 20000);
+            agent_fixture_advance(&fixture, 20000);
         }
-        AgentFixture_Call(&fixture, 2, 1, FIXTURE_BUY, NULL);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
-                         ==, !row->is_placed);
+        agent_fixture_call(&fixture, 2, 1, FIXTURE_BUY, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
+            !row->is_placed);
         g_assert_cmpuint(GbAgent_Load(&fixture.agent).queued, ==,
                          row->queued + row->is_placed);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -416,10 +417,10 @@
         struct FixtureSetup setup = {.members = 1};
         struct GbMessage message = {.kind = GB_MESSAGE_CALL};
 
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Alive(&fixture, 1, &idle);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_alive(&fixture, 1, &idle);
         if (row->is_busy) {
-            AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+            agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
         }
         message.service_id = FIXTURE_SERVICE;
         message.flow_id = 1;
@@ -428,12 +429,12 @@
         message.call.body.data = body;
         message.call.body.size_bytes = row->size_bytes;
         GbAgent_Receive(&fixture.agent, &path, &message);
-        g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+        g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                         row->reply);
         if (row->reply == GB_MESSAGE_NOT_RUN) {
-            AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_TOO_LARGE);
+            agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_TOO_LARGE);
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -444,12 +445,12 @@
 {
     struct FixtureSetup setup = {0};
 
-    AgentFixture_Init(&fixture, &setup);
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Advance(&fixture, 1000000);
+    agent_fixture_init(&fixture, &setup);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_advance(&fixture, 1000000);
     g_assert_cmpuint(fixture.cancelled_count, ==, 1);
-    AgentFixture_AssertUnknown(&fixture, 1, GB_UNKNOWN_DEADLINE_PASSED);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_assert_unknown(&fixture, 1, GB_UNKNOWN_DEADLINE_PASSED);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against a target that is slow but never refused because its work is
@@ -459,16 +460,16 @@
 {
     struct FixtureSetup setup = {0};
 
-    AgentFixture_Init(&fixture, &setup);
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Advance(&fixture, 30000000);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Call(&fixture, 3, 1, FIXTURE_PACK, NULL);
-    g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+    agent_fixture_init(&fixture, &setup);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_PACK, NULL);
+    agent_fixture_advance(&fixture, 30000000);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 3, 1, FIXTURE_PACK, NULL);
+    g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                     GB_MESSAGE_ACCEPTED);
-    AgentFixture_Call(&fixture, 4, 1, FIXTURE_PACK, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_DEADLINE);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_call(&fixture, 4, 1, FIXTURE_PACK, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_DEADLINE);
+    agent_fixture_finish(&fixture);
 }
 
 int
--- a/tests/test_agent_wire.c
+++ b/tests/test_agent_wire.c
@@ -70,7 +70,7 @@
     message.request_id = 1;
     message.has_token = damage != DAMAGE_NO_TOKEN;
     message.token.service_id = FIXTURE_SERVICE;
-    message.token.instance_id = AgentFixture_InstanceId(1);
+    message.token.instance_id = agent_fixture_instance_id(1);
     message.token.flow_id = damage == DAMAGE_TOKEN_FLOW;
     handover->path.caller.ipv4 = 0x7f000001;
     handover->path.caller.port = 4000;
@@ -97,7 +97,7 @@
     static struct AgentFixture fixture;
     struct FixtureSetup setup = {.members = 1};
     struct GbKeys keys = {.current = {1, 2, 3}};
-    struct GbAddress from = AgentFixture_Address(1);
+    struct GbAddress from = agent_fixture_address(1);
 
     for (size_t i = 0; i < G_N_ELEMENTS(handover_cases); i++) {
         const struct HandoverCase *row = &handover_cases[i];
@@ -107,7 +107,7 @@
         uint32_t size_bytes = encode_handover(row->damage, &keys, buffer);
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
+        agent_fixture_init(&fixture, &setup);
         GbAgentWire_Init(&wire, &fixture.agent, &keys, &last.super, NULL, NULL,
                          &fixture.counters);
         GbAgentWire_Receive(&wire, &from, buffer, size_bytes);
@@ -123,7 +123,7 @@
             g_assert_true(
                 GbEnvelope_IsEnvelope(last.header, last.header_bytes));
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -18,7 +18,7 @@
         GbAgent_Drain(&fixture.agent);
         break;
     case CAUSE_LIST:
-        AgentFixture_SetView(&fixture, 1);
+        agent_fixture_set_view(&fixture, 1);
         break;
     case CAUSE_HEALTH:
         GbAgent_TargetHealth(&fixture.agent, GB_HEALTH_LEAVING);
@@ -34,9 +34,9 @@
 {
     struct FixtureSetup setup = {.members = members, .slots = 2};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     for (uint32_t i = 1; i <= members; i++) {
-        AgentFixture_Alive(&fixture, i, &idle);
+        agent_fixture_alive(&fixture, i, &idle);
     }
 }
 
@@ -81,15 +81,15 @@
         g_test_message("%s", row->name);
         start(row->members);
         leave(row->cause);
-        AgentFixture_Call(&fixture, 1, 1, row->operation, NULL);
+        agent_fixture_call(&fixture, 1, 1, row->operation, NULL);
         if (row->is_reported) {
-            AgentFixture_Report(&fixture, loads);
+            agent_fixture_report(&fixture, loads);
         }
-        AgentFixture_Advance(&fixture, 5000);
-        sent = AgentFixture_LastSent(&fixture, GB_MESSAGE_HANDOVER);
+        agent_fixture_advance(&fixture, 5000);
+        sent = agent_fixture_last_sent(&fixture, GB_MESSAGE_HANDOVER);
         g_assert_true((sent != NULL) == row->is_handed_over);
         if (row->is_reported) {
-            struct GbAddress least = AgentFixture_Address(2);
+            struct GbAddress least = agent_fixture_address(2);
 
             g_assert_true(GbAddress_Equal(&sent->to, &least));
         }
@@ -97,34 +97,34 @@
             g_assert_cmpuint(fixture.reply_count, ==, 0);
         }
         else if (row->reason != 0) {
-            AgentFixture_AssertNotRun(&fixture, 1, row->reason);
+            agent_fixture_assert_not_run(&fixture, 1, row->reason);
         }
         else {
-            g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+            g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                             GB_MESSAGE_ACCEPTED);
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
 struct BoundCase {
     const char *name;
+    /* Time from the leave to the CALL. */
+    int64_t at_us;
     uint32_t flow_ms;
     /* Whether the token was used before the leave. */
     bool is_used;
-    /* Time from the leave to the CALL. */
-    int64_t at_us;
     bool is_admitted;
 };
 
 static const struct BoundCase bound_cases[] = {
-    {"old flow, at once", 2000, true, 0, true},
-    {"old flow, within its time", 5000, true, 4999999, true},
-    {"old flow, past its time", 5000, true, 5000000, false},
-    {"old flow, short time", 500, true, 500000, false},
-    {"first use, within 2 s", 5000, false, 1999999, true},
-    {"first use, after 2 s", 5000, false, 2000000, false},
-    {"first use, short time", 500, false, 500000, false},
+    {"old flow, at once", 0, 2000, true, true},
+    {"old flow, within its time", 4999999, 5000, true, true},
+    {"old flow, past its time", 5000000, 5000, true, false},
+    {"old flow, short time", 500000, 500, true, false},
+    {"first use, within 2 s", 1999999, 5000, false, true},
+    {"first use, after 2 s", 2000000, 5000, false, false},
+    {"first use, short time", 500000, 500, false, false},
 };
 
 /* Guards against a bound flow that is cut before drain.flow_ms, and against a
@@ -139,25 +139,25 @@
         struct GbToken token;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        token = AgentFixture_Bind(&fixture, 1, 1);
+        agent_fixture_init(&fixture, &setup);
+        token = agent_fixture_bind(&fixture, 1, 1);
         if (row->is_used) {
-            AgentFixture_Call(&fixture, 1, 2, FIXTURE_BUY, &token);
-            AgentFixture_Answer(&fixture, 0);
+            agent_fixture_call(&fixture, 1, 2, FIXTURE_BUY, &token);
+            agent_fixture_answer(&fixture, 0);
         }
-        AgentFixture_Advance(&fixture, 1000);
+        agent_fixture_advance(&fixture, 1000);
         GbAgent_Drain(&fixture.agent);
-        AgentFixture_Advance(&fixture, row->at_us);
+        agent_fixture_advance(&fixture, row->at_us);
         fixture.started_count = 0;
         fixture.reply_count = 0;
-        AgentFixture_Call(&fixture, 1, 3, FIXTURE_BUY, &token);
+        agent_fixture_call(&fixture, 1, 3, FIXTURE_BUY, &token);
         g_assert_cmpuint(fixture.started_count, ==, row->is_admitted);
         if (!row->is_admitted) {
-            AgentFixture_AssertNotRun(&fixture, 3, GB_NOT_RUN_DRAINING);
+            agent_fixture_assert_not_run(&fixture, 3, GB_NOT_RUN_DRAINING);
             /* It is refused at once and not accepted before. */
             g_assert_cmpuint(fixture.reply_count, ==, 1);
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -170,23 +170,23 @@
     struct GbToken old_token;
     struct GbToken new_token;
 
-    AgentFixture_Init(&fixture, &setup);
-    old_token = AgentFixture_Bind(&fixture, 1, 1);
-    new_token = AgentFixture_Bind(&fixture, 2, 1);
-    AgentFixture_Call(&fixture, 3, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Call(&fixture, 1, 2, FIXTURE_PACK, &old_token);
-    AgentFixture_Advance(&fixture, 1000);
+    agent_fixture_init(&fixture, &setup);
+    old_token = agent_fixture_bind(&fixture, 1, 1);
+    new_token = agent_fixture_bind(&fixture, 2, 1);
+    agent_fixture_call(&fixture, 3, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 1, 2, FIXTURE_PACK, &old_token);
+    agent_fixture_advance(&fixture, 1000);
     GbAgent_Drain(&fixture.agent);
-    AgentFixture_Call(&fixture, 2, 2, FIXTURE_PACK, &new_token);
-    AgentFixture_Advance(&fixture, 2500000);
+    agent_fixture_call(&fixture, 2, 2, FIXTURE_PACK, &new_token);
+    agent_fixture_advance(&fixture, 2500000);
     g_assert_cmpuint(fixture.started_count, ==, 1);
-    AgentFixture_Answer(&fixture, 0);
+    agent_fixture_answer(&fixture, 0);
     g_assert_cmpuint(fixture.started_count, ==, 2);
     g_assert_cmpuint(fixture.started[1].flow_id, ==, 1);
-    AgentFixture_Answer(&fixture, 1);
+    agent_fixture_answer(&fixture, 1);
     g_assert_cmpuint(fixture.started_count, ==, 2);
-    AgentFixture_AssertNotRun(&fixture, 2, GB_NOT_RUN_DRAINING);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_assert_not_run(&fixture, 2, GB_NOT_RUN_DRAINING);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against an exit that cuts a request or its download. */
@@ -195,21 +195,21 @@
 {
     struct FixtureSetup setup = {.slots = 2};
 
-    AgentFixture_Init(&fixture, &setup);
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_PACK, NULL);
+    agent_fixture_init(&fixture, &setup);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_PACK, NULL);
     GbAgent_Drain(&fixture.agent);
-    AgentFixture_Advance(&fixture, 20000000);
+    agent_fixture_advance(&fixture, 20000000);
     g_assert_cmpuint(fixture.cancelled_count, ==, 0);
     g_assert_false(GbAgent_IsDrained(&fixture.agent));
-    AgentFixture_Answer(&fixture, 0);
-    g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+    agent_fixture_answer(&fixture, 0);
+    g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                     GB_MESSAGE_DATA);
-    AgentFixture_Advance(&fixture, 20000000);
+    agent_fixture_advance(&fixture, 20000000);
     /* The answer waits to be fetched. */
     g_assert_false(GbAgent_IsDrained(&fixture.agent));
-    AgentFixture_Advance(&fixture, 10000000);
+    agent_fixture_advance(&fixture, 10000000);
     g_assert_true(GbAgent_IsDrained(&fixture.agent));
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 struct ReturnCase {
@@ -237,12 +237,12 @@
         start(MEMBERS);
         leave(row->cause);
         g_assert_false(GbAgent_TakesNewFlows(&fixture.agent));
-        AgentFixture_Advance(&fixture, 3000000);
-        AgentFixture_SetView(&fixture, 0);
+        agent_fixture_advance(&fixture, 3000000);
+        agent_fixture_set_view(&fixture, 0);
         GbAgent_TargetHealth(&fixture.agent, GB_HEALTH_OK);
         g_assert_true(GbAgent_TakesNewFlows(&fixture.agent) ==
                       row->is_taken_back);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -221,57 +221,57 @@
     switch (step) {
     case STEP_CALL:
     case STEP_AGAIN:
-        AgentFixture_Call(&fixture, 1, run->request_id, FIXTURE_BUY,
-                          &run->token);
+        agent_fixture_call(&fixture, 1, run->request_id, FIXTURE_BUY,
+                           &run->token);
         break;
     case STEP_ANSWER:
-        AgentFixture_Answer(&fixture, fixture.started_count - 1);
+        agent_fixture_answer(&fixture, fixture.started_count - 1);
         break;
     case STEP_FAIL:
-        AgentFixture_End(&fixture, 0, GB_TARGET_FAILED);
+        agent_fixture_end(&fixture, 0, GB_TARGET_FAILED);
         break;
     case STEP_SHED:
-        AgentFixture_End(&fixture, 0, GB_TARGET_SHED);
+        agent_fixture_end(&fixture, 0, GB_TARGET_SHED);
         break;
     case STEP_NOT_STARTED:
-        AgentFixture_End(&fixture, 0, GB_TARGET_NOT_STARTED);
+        agent_fixture_end(&fixture, 0, GB_TARGET_NOT_STARTED);
         break;
     case STEP_CANCEL:
-        AgentFixture_Send(&fixture, GB_MESSAGE_CANCEL, 1, run->request_id,
-                          FIXTURE_BUY, &run->token);
+        agent_fixture_send(&fixture, GB_MESSAGE_CANCEL, 1, run->request_id,
+                           FIXTURE_BUY, &run->token);
         break;
     case STEP_CLOSE:
-        AgentFixture_Send(&fixture, GB_MESSAGE_CLOSE, 1, run->request_id,
-                          FIXTURE_BUY, &run->token);
+        agent_fixture_send(&fixture, GB_MESSAGE_CLOSE, 1, run->request_id,
+                           FIXTURE_BUY, &run->token);
         break;
     case STEP_FETCHED:
-        AgentFixture_Acknowledge(&fixture, 1, run->request_id, &run->token);
+        agent_fixture_acknowledge(&fixture, 1, run->request_id, &run->token);
         break;
     case STEP_NEXT_ID:
         run->request_id++;
         break;
     case STEP_SKIP_WINDOW:
-        AgentFixture_Call(&fixture, 1, run->request_id + GB_FLOW_WINDOW_IDS,
-                          (enum FixtureOperation)99, &run->token);
+        agent_fixture_call(&fixture, 1, run->request_id + GB_FLOW_WINDOW_IDS,
+                           (enum FixtureOperation)99, &run->token);
         break;
     case STEP_PAST_RETENTION:
-        AgentFixture_Advance(&fixture, 1000000);
+        agent_fixture_advance(&fixture, 1000000);
         break;
     case STEP_PAST_FIRST_USE:
-        AgentFixture_Advance(&fixture, FIRST_USE_US);
+        agent_fixture_advance(&fixture, FIRST_USE_US);
         break;
     case STEP_ALMOST_FIRST_USE:
-        AgentFixture_Advance(&fixture, FIRST_USE_US - 1000);
+        agent_fixture_advance(&fixture, FIRST_USE_US - 1000);
         break;
     case STEP_PAST_IDLE:
         /* A finished answer keeps its flow in use for its retention. */
-        AgentFixture_Advance(&fixture, 2 * IDLE_US);
+        agent_fixture_advance(&fixture, 2 * IDLE_US);
         break;
     case STEP_OTHER_INCARNATION:
         run->token.incarnation++;
         break;
     case STEP_FILL_SLOT:
-        AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+        agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
         break;
     case STEP_END:
         break;
@@ -301,12 +301,12 @@
         const struct GbMessage *reply;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        run.token = AgentFixture_Bind(&fixture, 1, 1);
+        agent_fixture_init(&fixture, &setup);
+        run.token = agent_fixture_bind(&fixture, 1, 1);
         for (size_t n = 0; row->steps[n] != STEP_END; n++) {
             take_step(&run, row->steps[n]);
         }
-        reply = AgentFixture_LastReply(&fixture);
+        reply = agent_fixture_last_reply(&fixture);
         g_assert_cmpstr(GbMessage_KindName(reply->kind), ==,
                         GbMessage_KindName(row->reply));
         g_assert_cmpuint(reply->request_id, ==, run.request_id);
@@ -317,7 +317,7 @@
             g_assert_cmpuint(reply->unknown, ==, row->reason);
         }
         g_assert_cmpuint(runs_of_flow(1), ==, row->runs);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -328,19 +328,19 @@
 {
     struct FixtureSetup setup = {.flows = 1};
 
-    AgentFixture_Init(&fixture, &setup);
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_LIMIT);
-    AgentFixture_Answer(&fixture, 0);
-    AgentFixture_Advance(&fixture, 2 * IDLE_US);
+    agent_fixture_init(&fixture, &setup);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_LIMIT);
+    agent_fixture_answer(&fixture, 0);
+    agent_fixture_advance(&fixture, 2 * IDLE_US);
     g_assert_cmpuint(GbFlowTable_Count(&fixture.agent.flows), ==, 0);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_BUSY);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_BUSY);
     g_assert_cmpuint(runs_of_flow(2), ==, 0);
-    AgentFixture_Call(&fixture, 2, 2, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 2, 2, FIXTURE_LOOK, NULL);
     g_assert_cmpuint(runs_of_flow(2), ==, 1);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against a memory of refused CALLs without a bound, and against one
@@ -372,20 +372,20 @@
     struct FixtureSetup setup = {.flows = 4};
     struct GbToken tokens[7];
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     for (uint32_t i = 1; i <= 6; i++) {
-        tokens[i] = AgentFixture_Bind(&fixture, i, 1);
+        tokens[i] = agent_fixture_bind(&fixture, i, 1);
     }
     for (uint32_t i = 1; i <= 5; i++) {
-        AgentFixture_Call(&fixture, i, 2, FIXTURE_BUY, &tokens[i]);
-        g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+        agent_fixture_call(&fixture, i, 2, FIXTURE_BUY, &tokens[i]);
+        g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                         GB_MESSAGE_ACCEPTED);
     }
-    AgentFixture_Call(&fixture, 6, 2, FIXTURE_BUY, &tokens[6]);
-    AgentFixture_AssertUnknown(&fixture, 2, GB_UNKNOWN_NO_RECORD);
-    AgentFixture_Call(&fixture, 7, 1, FIXTURE_BUY, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_LIMIT);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_call(&fixture, 6, 2, FIXTURE_BUY, &tokens[6]);
+    agent_fixture_assert_unknown(&fixture, 2, GB_UNKNOWN_NO_RECORD);
+    agent_fixture_call(&fixture, 7, 1, FIXTURE_BUY, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_LIMIT);
+    agent_fixture_finish(&fixture);
 }
 
 struct ForeignCase {
@@ -414,8 +414,8 @@
         struct GbToken token;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        token = AgentFixture_Bind(&fixture, 1, 1);
+        agent_fixture_init(&fixture, &setup);
+        token = agent_fixture_bind(&fixture, 1, 1);
         if (row->flow_id == 0) {
             token.flow_id = 0;
         }
@@ -426,11 +426,11 @@
             token.service_id = row->change.service_id;
         }
         fixture.reply_count = 0;
-        AgentFixture_Call(&fixture, row->flow_id, 2, FIXTURE_LOOK,
-                          row->has_token ? &token : NULL);
+        agent_fixture_call(&fixture, row->flow_id, 2, FIXTURE_LOOK,
+                           row->has_token ? &token : NULL);
         g_assert_cmpuint(fixture.reply_count, ==, 0);
         g_assert_cmpuint(fixture.started_count, ==, 0);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -16,11 +16,11 @@
 {
     struct FixtureSetup setup = {.members = members};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     for (uint32_t i = 1; i <= members; i++) {
-        AgentFixture_Alive(&fixture, i, load);
+        agent_fixture_alive(&fixture, i, load);
     }
-    AgentFixture_Call(&fixture, 1000, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 1000, 1, FIXTURE_PACK, NULL);
     g_assert_cmpuint(fixture.started_count, ==, 1);
 }
 
@@ -80,18 +80,18 @@
         g_test_message("%s", row->name);
         start_busy(MEMBERS, &idle);
         fixture.reply_count = 0;
-        AgentFixture_Call(&fixture, 1, 1, row->operation, NULL);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
-                         ==, 3);
+        agent_fixture_call(&fixture, 1, 1, row->operation, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==, 3);
         g_assert_cmpuint(fixture.reply_count, ==, 0);
-        AgentFixture_Report(&fixture, row->loads);
-        sent = AgentFixture_LastSent(&fixture, GB_MESSAGE_HANDOVER);
+        agent_fixture_report(&fixture, row->loads);
+        sent = agent_fixture_last_sent(&fixture, GB_MESSAGE_HANDOVER);
         if (row->member == 0) {
             g_assert_null(sent);
             g_assert_cmpuint(fixture.reply_count, ==, 1);
         }
         else {
-            struct GbAddress to = AgentFixture_Address(row->member);
+            struct GbAddress to = agent_fixture_address(row->member);
 
             g_assert_nonnull(sent);
             g_assert_true(GbAddress_Equal(&sent->to, &to));
@@ -103,7 +103,7 @@
             g_assert_cmpuint(fixture.reply_count, ==, 0);
         }
         g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -139,21 +139,22 @@
 
         g_test_message("%s", row->name);
         start_busy(MEMBERS, &row->load);
-        AgentFixture_SetView(&fixture, row->leaving);
-        AgentFixture_Advance(&fixture, row->heard_before_us);
+        agent_fixture_set_view(&fixture, row->leaving);
+        agent_fixture_advance(&fixture, row->heard_before_us);
         fixture.reply_count = 0;
-        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
-                         ==, row->asks);
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
+            row->asks);
         if (row->placed_after_us > 0) {
-            AgentFixture_Advance(&fixture, row->placed_after_us - 1);
+            agent_fixture_advance(&fixture, row->placed_after_us - 1);
             g_assert_cmpuint(fixture.reply_count, ==, 0);
-            AgentFixture_Advance(&fixture, 1);
+            agent_fixture_advance(&fixture, 1);
         }
         g_assert_cmpuint(fixture.reply_count, ==, 1);
-        g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+        g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                         GB_MESSAGE_ACCEPTED);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -188,24 +189,25 @@
 
         g_test_message("%s", row->name);
         start_busy(MEMBERS, &idle);
-        AgentFixture_Call(&fixture, 1, 1, row->operation, NULL);
-        AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, 1, 1, row->operation, NULL);
+        agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
         if (row->is_draining) {
             GbAgent_Drain(&fixture.agent);
         }
         fixture.reply_count = 0;
-        AgentFixture_Answer(&fixture, 0);
+        agent_fixture_answer(&fixture, 0);
         /* The answer of the first request comes first. */
         g_assert_true((fixture.reply_count > 1) == row->is_placed);
         if (row->is_placed) {
             g_assert_cmpuint(fixture.replies[1].flow_id, ==, 1);
         }
-        AgentFixture_Report(&fixture, loads);
-        AgentFixture_Advance(&fixture, WAIT_US);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_HANDOVER),
-                         ==, row->handovers);
+        agent_fixture_report(&fixture, loads);
+        agent_fixture_advance(&fixture, WAIT_US);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_HANDOVER), ==,
+            row->handovers);
         g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -216,28 +218,28 @@
 {
     struct FixtureSetup setup = {.members = 1, .slots = 3};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
     }
-    AgentFixture_End(&fixture, 0, GB_TARGET_SHED);
-    AgentFixture_End(&fixture, 1, GB_TARGET_SHED);
-    AgentFixture_End(&fixture, 2, GB_TARGET_SHED);
-    AgentFixture_Advance(&fixture, 900000);
-    AgentFixture_Alive(&fixture, 1, &idle);
+    agent_fixture_end(&fixture, 0, GB_TARGET_SHED);
+    agent_fixture_end(&fixture, 1, GB_TARGET_SHED);
+    agent_fixture_end(&fixture, 2, GB_TARGET_SHED);
+    agent_fixture_advance(&fixture, 900000);
+    agent_fixture_alive(&fixture, 1, &idle);
     g_assert_cmpuint(GbAgent_Load(&fixture.agent).capacity, ==, 1);
-    AgentFixture_Advance(&fixture, 98000);
+    agent_fixture_advance(&fixture, 98000);
     fixture.started_count = 0;
     fixture.reply_count = 0;
-    AgentFixture_Call(&fixture, 5, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Call(&fixture, 6, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Call(&fixture, 7, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 5, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 6, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 7, 1, FIXTURE_LOOK, NULL);
     g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 2);
-    AgentFixture_Advance(&fixture, 2000);
+    agent_fixture_advance(&fixture, 2000);
     g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
     g_assert_cmpuint(fixture.started_count, ==, 3);
     g_assert_cmpuint(fixture.reply_count, ==, 3);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against waiting CALLs without a bound, and against one that gets no
@@ -248,17 +250,17 @@
     start_busy(MEMBERS, &idle);
     fixture.reply_count = 0;
     for (uint64_t flow_id = 1; flow_id <= GB_HANDOVER_WAITING_MAX; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
     }
     g_assert_cmpuint(fixture.reply_count, ==, 0);
-    AgentFixture_Call(&fixture, 500, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 500, 1, FIXTURE_LOOK, NULL);
     g_assert_cmpuint(fixture.reply_count, ==, 1);
-    g_assert_cmpuint(AgentFixture_LastReply(&fixture)->flow_id, ==, 500);
+    g_assert_cmpuint(agent_fixture_last_reply(&fixture)->flow_id, ==, 500);
     g_assert_cmpuint(fixture.counters.values[GB_COUNTER_WAITING_REFUSED], ==,
                      1);
-    AgentFixture_Advance(&fixture, WAIT_US);
+    agent_fixture_advance(&fixture, WAIT_US);
     g_assert_cmpuint(fixture.reply_count, ==, GB_HANDOVER_WAITING_MAX + 1);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 struct DuplicateCase {
@@ -292,16 +294,17 @@
         g_test_message("%s", row->name);
         start_busy(MEMBERS, &idle);
         fixture.reply_count = 0;
-        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
         if (row->is_reported) {
-            AgentFixture_Report(&fixture, loads);
+            agent_fixture_report(&fixture, loads);
         }
-        AgentFixture_Call(&fixture, row->flow_id, row->request_id,
-                          FIXTURE_LOOK, NULL);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
-                         ==, row->asks);
+        agent_fixture_call(&fixture, row->flow_id, row->request_id,
+                           FIXTURE_LOOK, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
+            row->asks);
         g_assert_cmpuint(fixture.reply_count, ==, 0);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -315,7 +318,7 @@
     message.request_id = request_id;
     message.handover.path.balancer.port = 1234;
     message.handover.call.operation_id = (uint16_t)operation;
-    AgentFixture_Receive(&fixture, 1, &message);
+    agent_fixture_receive(&fixture, 1, &message);
 }
 
 struct ReceivedCase {
@@ -350,16 +353,16 @@
         const struct GbMessage *reply;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Alive(&fixture, 2, &idle);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_alive(&fixture, 2, &idle);
         if (row->is_busy) {
-            AgentFixture_Call(&fixture, 1000, 1, FIXTURE_LOOK, NULL);
+            agent_fixture_call(&fixture, 1000, 1, FIXTURE_LOOK, NULL);
         }
         if (row->is_draining) {
             GbAgent_Drain(&fixture.agent);
         }
         receive_handover(row->operation, 1, 1);
-        reply = AgentFixture_LastReply(&fixture);
+        reply = agent_fixture_last_reply(&fixture);
         g_assert_cmpint(reply->kind, ==, row->reply);
         g_assert_cmpuint(reply->kind == GB_MESSAGE_NOT_RUN
                              ? (uint32_t)reply->not_run
@@ -368,11 +371,11 @@
         g_assert_cmpuint(
             fixture.reply_paths[fixture.reply_count - 1].balancer.port, ==,
             1234);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_LOAD_ASK),
-                         ==, 0);
-        g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_HANDOVER),
-                         ==, 0);
-        AgentFixture_Finish(&fixture);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==, 0);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_HANDOVER), ==, 0);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -401,21 +404,21 @@
         const struct AuthorityCase *row = &authority_cases[i];
         struct FixtureSetup setup = {.members = MEMBERS};
         struct GbMessage message = {.kind = GB_MESSAGE_HANDOVER};
-        struct GbAddress from = AgentFixture_Address(1);
+        struct GbAddress from = agent_fixture_address(1);
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
+        agent_fixture_init(&fixture, &setup);
         message.service_id = row->service_id;
         message.flow_id = row->flow_id;
         message.request_id = 1;
         message.has_token = true;
         message.token.service_id = row->token_service_id;
-        message.token.instance_id = AgentFixture_InstanceId(!row->is_own);
+        message.token.instance_id = agent_fixture_instance_id(!row->is_own);
         message.handover.call.operation_id = FIXTURE_LOOK;
         GbAgent_ReceiveMember(&fixture.agent, &from, &message);
         g_assert_cmpuint(fixture.started_count, ==, 0);
         g_assert_cmpuint(fixture.reply_count, ==, 0);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -442,7 +445,7 @@
     list->instances = g_new0(struct GbInstance, agents);
     for (uint32_t i = 0; i < agents; i++) {
         list->instances[i].role = GB_ROLE_AGENT;
-        list->instances[i].id = AgentFixture_InstanceId(i);
+        list->instances[i].id = agent_fixture_instance_id(i);
         g_strlcpy(list->instances[i].service, "desk", GB_NAME_BYTES);
     }
     return list;
@@ -490,21 +493,21 @@
     const struct FixtureSent *alive;
     uint32_t count;
 
-    AgentFixture_Init(&fixture, &setup);
-    g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_ALIVE), ==,
+    agent_fixture_init(&fixture, &setup);
+    g_assert_cmpuint(agent_fixture_count_sent(&fixture, GB_MESSAGE_ALIVE), ==,
                      MEMBERS);
-    AgentFixture_Advance(&fixture, 20000000);
-    count = AgentFixture_CountSent(&fixture, GB_MESSAGE_ALIVE);
+    agent_fixture_advance(&fixture, 20000000);
+    count = agent_fixture_count_sent(&fixture, GB_MESSAGE_ALIVE);
     g_assert_cmpuint(count, >=, 18 * MEMBERS);
     g_assert_cmpuint(count, <=, 23 * MEMBERS);
     GbAgent_Drain(&fixture.agent);
-    g_assert_cmpuint(AgentFixture_CountSent(&fixture, GB_MESSAGE_ALIVE), ==,
+    g_assert_cmpuint(agent_fixture_count_sent(&fixture, GB_MESSAGE_ALIVE), ==,
                      count + MEMBERS);
-    alive = AgentFixture_LastSent(&fixture, GB_MESSAGE_ALIVE);
+    alive = agent_fixture_last_sent(&fixture, GB_MESSAGE_ALIVE);
     g_assert_true(alive->message.alive.load.is_draining);
     g_assert_cmpuint(alive->message.token.flow_id, ==, 0);
     g_assert_cmpuint(alive->message.token.incarnation, ==, 1);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against limits that each agent applies in full: seven agents would
@@ -515,22 +518,22 @@
     struct FixtureSetup setup = {
         .members = MEMBERS, .flows = 400, .queue = 80, .rate_per_s = 2};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     g_assert_cmpuint(fixture.agent.flows.limit, ==, 100);
-    AgentFixture_Advance(&fixture, 5000000);
+    agent_fixture_advance(&fixture, 5000000);
     g_assert_cmpuint(fixture.agent.flows.limit, ==, 400);
-    AgentFixture_Alive(&fixture, 1, &idle);
-    AgentFixture_Advance(&fixture, 1200000);
+    agent_fixture_alive(&fixture, 1, &idle);
+    agent_fixture_advance(&fixture, 1200000);
     g_assert_cmpuint(fixture.agent.flows.limit, ==, 200);
     g_assert_cmpuint(fixture.agent.slots.queue_limit, ==, 40);
     g_assert_cmpuint(fixture.agent.rate.rate_per_s, ==, 1);
-    AgentFixture_Alive(&fixture, 2, &idle);
-    AgentFixture_Alive(&fixture, 3, &idle);
-    AgentFixture_Advance(&fixture, 1200000);
+    agent_fixture_alive(&fixture, 2, &idle);
+    agent_fixture_alive(&fixture, 3, &idle);
+    agent_fixture_advance(&fixture, 1200000);
     g_assert_cmpuint(fixture.agent.flows.limit, ==, 100);
     /* Never below one, or a small limit would refuse everything. */
     g_assert_cmpuint(fixture.agent.rate.rate_per_s, ==, 1);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 int
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -82,20 +82,20 @@
 
 struct RoomCase {
     uint32_t total;
-    bool keeps_short_slot;
     uint32_t running_short;
     uint32_t running_long;
+    bool keeps_short_slot;
     bool has_short_room;
     bool has_long_room;
 };
 
 static const struct RoomCase room_cases[] = {
-    {1, true, 0, 0, true, true},    {1, true, 0, 1, false, false},
-    {2, true, 0, 0, true, true},    {2, true, 0, 1, true, false},
-    {2, true, 1, 0, true, true},    {2, true, 1, 1, false, false},
-    {2, true, 2, 0, false, false},  {5, true, 0, 4, true, false},
-    {5, true, 0, 3, true, true},    {2, false, 0, 1, true, true},
-    {2, false, 0, 2, false, false},
+    {1, 0, 0, true, true, true},    {1, 0, 1, true, false, false},
+    {2, 0, 0, true, true, true},    {2, 0, 1, true, true, false},
+    {2, 1, 0, true, true, true},    {2, 1, 1, true, false, false},
+    {2, 2, 0, true, false, false},  {5, 0, 4, true, true, false},
+    {5, 0, 3, true, true, true},    {2, 0, 1, false, true, true},
+    {2, 0, 2, false, false, false},
 };
 
 /* Guards against long work that takes the last slot, behind which short work
@@ -163,16 +163,16 @@
 
 struct AgentCase {
     const char *name;
-    enum GbTargetEnd end;
     int64_t pause_us;
+    enum GbTargetEnd end;
     uint32_t usable;
 };
 
 static const struct AgentCase agent_cases[] = {
-    {"answered", GB_TARGET_WHOLE, 0, TOTAL},
-    {"shed", GB_TARGET_SHED, 0, TOTAL - 1},
-    {"shed 1 s ago", GB_TARGET_SHED, 1000000, TOTAL},
-    {"failed", GB_TARGET_FAILED, 0, TOTAL},
+    {"answered", 0, GB_TARGET_WHOLE, TOTAL},
+    {"shed", 0, GB_TARGET_SHED, TOTAL - 1},
+    {"shed 1 s ago", 1000000, GB_TARGET_SHED, TOTAL},
+    {"failed", 0, GB_TARGET_FAILED, TOTAL},
 };
 
 /* Guards against an agent that does not act on what its target answers. */
@@ -186,14 +186,14 @@
         const struct AgentCase *row = &agent_cases[i];
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-        AgentFixture_End(&fixture, 0, row->end);
-        AgentFixture_Advance(&fixture, row->pause_us);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_end(&fixture, 0, row->end);
+        agent_fixture_advance(&fixture, row->pause_us);
         GbSlots_Refresh(&fixture.agent.slots, fixture.clock.monotonic_us);
         g_assert_cmpuint(GbAgent_Load(&fixture.agent).capacity, ==,
                          row->usable);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -218,12 +218,12 @@
         struct FixtureSetup setup = {
             .slots = TOTAL, .is_long_only = long_cases[i].is_long_only};
 
-        AgentFixture_Init(&fixture, &setup);
+        agent_fixture_init(&fixture, &setup);
         for (uint64_t flow_id = 1; flow_id <= 2 * TOTAL; flow_id++) {
-            AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_PACK, NULL);
+            agent_fixture_call(&fixture, flow_id, 1, FIXTURE_PACK, NULL);
         }
         g_assert_cmpuint(fixture.started_count, ==, long_cases[i].started);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -234,16 +234,16 @@
     static struct AgentFixture fixture;
     struct FixtureSetup setup = {.slots = TOTAL, .ramp_ms = 400};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     for (uint64_t flow_id = 1; flow_id <= TOTAL; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
     }
     g_assert_cmpuint(fixture.started_count, ==, 1);
-    AgentFixture_Advance(&fixture, 100000);
+    agent_fixture_advance(&fixture, 100000);
     g_assert_cmpuint(fixture.started_count, ==, 2);
-    AgentFixture_Advance(&fixture, 200000);
+    agent_fixture_advance(&fixture, 200000);
     g_assert_cmpuint(fixture.started_count, ==, TOTAL);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 int
