--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -7,8 +7,10 @@
 #include "coordination/membership.h"
 #include "coordination/reply.h"
 
-/* A caller binds anew after 120 s without use, well before this. */
+/* Far longer than callers use a token. */
 #define FLOW_IDLE_US INT64_C(300000000)
+/* For the way of the last datagram that a caller sends under a token. */
+#define TOKEN_MARGIN_US INT64_C(1000000)
 #define US_PER_MS 1000
 /* ALIVE goes out once a second, with a tenth of jitter to either side, so
  * that the members of a pool do not send in step. */
@@ -23,7 +25,11 @@
         return false;
     }
     if (!message->has_token) {
-        return message->flow_id != 0;
+        if (message->flow_id == 0 || message->kind != GB_MESSAGE_CALL) {
+            GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+            return false;
+        }
+        return true;
     }
     if (message->token.service_id != message->service_id) {
         GbCounters_Add(self->counters, GB_COUNTER_WRONG_SERVICE, 1);
@@ -261,19 +267,13 @@
         GbAdmission_Call(self, path, message);
         break;
     case GB_MESSAGE_FETCH:
-        if (message->has_token) {
-            receive_fetch(self, path, message);
-        }
+        receive_fetch(self, path, message);
         break;
     case GB_MESSAGE_CANCEL:
-        if (message->has_token) {
-            receive_cancel(self, message);
-        }
+        receive_cancel(self, message);
         break;
     case GB_MESSAGE_CLOSE:
-        if (message->has_token) {
-            receive_close(self, message);
-        }
+        receive_close(self, message);
         break;
     default:
         GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
@@ -338,6 +338,17 @@
            now_us - self->drain_started_us >= GB_DRAIN_NEW_FLOW_US;
 }
 
+/* Whether a caller may still send a new request under a token that it holds.
+ */
+static bool
+is_token_in_use(const struct GbAgent *self)
+{
+    return GbFlowTable_Count(&self->flows) > 0 &&
+           GbClock_MonotonicUs(self->clock) <
+               GbFlowTable_LastUseUs(&self->flows) + GB_TOKEN_IDLE_US +
+                   TOKEN_MARGIN_US;
+}
+
 bool
 GbAgent_IsDrained(const struct GbAgent *self)
 {
@@ -346,7 +357,7 @@
                            : 0;
 
     return self->is_draining && self->request_count == 0 &&
-           self->handover.waiting.length == 0 &&
+           !is_token_in_use(self) && self->handover.waiting.length == 0 &&
            GbClock_MonotonicUs(self->clock) >=
                self->drain_started_us + limit_us;
 }
--- a/src/coordination/suspicion.c
+++ b/src/coordination/suspicion.c
@@ -4,6 +4,8 @@
 #define SILENT_CALLS_MIN 3
 /* Longer than a round trip and a hand-over between data centres. */
 #define SILENCE_US INT64_C(300000)
+/* Three reports of an answer fit into the silence that makes suspect. */
+#define SHARE_PERIOD_US INT64_C(100000)
 #define PERIOD_START_US INT64_C(2000000)
 #define PERIOD_MAX_US INT64_C(16000000)
 
@@ -13,6 +15,10 @@
     int64_t first_unanswered_us;
     int64_t suspect_until_us;
     int64_t period_us;
+    /* When the other data tasks are told of an answer again. */
+    int64_t share_us;
+    /* Generation of the last list that names the instance. */
+    uint32_t generation;
 };
 
 static struct Entry *
@@ -30,16 +36,27 @@
         entry = g_new0(struct Entry, 1);
         entry->instance_id = instance_id;
         entry->period_us = PERIOD_START_US;
+        entry->share_us = INT64_MIN;
         g_hash_table_insert(self->by_instance, &entry->instance_id, entry);
     }
     return entry;
 }
 
+static gboolean
+is_unlisted(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    return ((const struct Entry *)value)->generation !=
+           *(const uint32_t *)context;
+}
+
 void
 GbSuspicion_Init(struct GbSuspicion *self)
 {
     self->by_instance =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    self->generation = 0;
+    self->suspect_until_us = INT64_MIN;
 }
 
 void
@@ -64,6 +81,8 @@
         return false;
     }
     entry->suspect_until_us = now_us + entry->period_us;
+    self->suspect_until_us =
+        MAX(self->suspect_until_us, entry->suspect_until_us);
     entry->period_us = MIN(2 * entry->period_us, PERIOD_MAX_US);
     entry->unanswered = 0;
     return true;
@@ -81,11 +100,52 @@
     }
 }
 
+bool
+GbSuspicion_IsShareDue(struct GbSuspicion *self, uint64_t instance_id,
+                       int64_t now_us)
+{
+    struct Entry *entry = find_or_add(self, instance_id);
+
+    if (now_us < entry->share_us) {
+        return false;
+    }
+    entry->share_us = now_us + SHARE_PERIOD_US;
+    return true;
+}
+
 bool
 GbSuspicion_IsSuspect(const struct GbSuspicion *self, uint64_t instance_id,
                       int64_t now_us)
 {
-    const struct Entry *entry = find(self, instance_id);
+    const struct Entry *entry;
 
+    /* The usual case spares a look-up for each candidate of each CALL. */
+    if (now_us >= self->suspect_until_us) {
+        return false;
+    }
+    entry = find(self, instance_id);
     return entry != NULL && now_us < entry->suspect_until_us;
 }
+
+void
+GbSuspicion_KeepListed(struct GbSuspicion *self,
+                       const struct GbInstanceList *list)
+{
+    /* Marks first, so that the cost is one look-up an instance. */
+    self->generation++;
+    for (uint32_t i = 0; i < list->count; i++) {
+        struct Entry *entry = find(self, list->instances[i].id);
+
+        if (entry != NULL) {
+            entry->generation = self->generation;
+        }
+    }
+    g_hash_table_foreach_remove(self->by_instance, is_unlisted,
+                                &self->generation);
+}
+
+uint32_t
+GbSuspicion_Count(const struct GbSuspicion *self)
+{
+    return g_hash_table_size(self->by_instance);
+}
--- a/src/transport/settings.h
+++ b/src/transport/settings.h
@@ -1,14 +1,17 @@
 #ifndef GB_TRANSPORT_SETTINGS_H
 #define GB_TRANSPORT_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 
+#include "state/address.h"
 #include "state/last_message.h"
 #include "transport/status.h"
 
 #define GB_SETTING_TEXT_BYTES 256
+#define GB_SETTING_ADDRESSES_MAX 64
 
 enum GbSettingKind {
     /* char[GB_SETTING_TEXT_BYTES] */
@@ -18,7 +21,17 @@
     /* struct GbAddress */
     GB_SETTING_ADDRESS,
     /* uint8_t[GB_KEY_BYTES], 32 hexadecimal digits */
-    GB_SETTING_KEY
+    GB_SETTING_KEY,
+    /* struct GbAddressList, separated by commas */
+    GB_SETTING_ADDRESSES,
+    /* char[GB_SETTING_TEXT_BYTES], one of the words that unit lists with
+     * ", " between them */
+    GB_SETTING_CHOICE
+};
+
+struct GbAddressList {
+    struct GbAddress items[GB_SETTING_ADDRESSES_MAX];
+    uint32_t count;
 };
 
 /* One setting of a program. The tables of settings drive flags, environment
@@ -50,6 +63,12 @@
                                        int argc, char **argv, void *values,
                                        FILE *errors);
 
+/* Sets one setting by its name. Returns false after a line on errors if there
+ * is no such setting or the text is wrong. */
+bool GbSettings_Set(const struct GbSetting *settings, size_t count,
+                    const char *program, const char *name, const char *text,
+                    void *values, FILE *errors);
+
 /* Name of the environment variable of a setting. */
 void GbSettings_Variable(const struct GbSetting *setting, char *buffer,
                          size_t size_bytes);
