--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -10,16 +10,16 @@
 static void
 limit_flows(void)
 {
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
 }
 
 static void
 limit_rate(void)
 {
     for (uint64_t flow_id = 1; flow_id <= 4; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
-        AgentFixture_Answer(&fixture, (uint32_t)flow_id - 1);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_answer(&fixture, (uint32_t)flow_id - 1);
     }
 }
 
@@ -28,18 +28,18 @@
 {
     /* One runs and two wait. */
     for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
     }
 }
 
 static void
 learn_slowness(void)
 {
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Advance(&fixture, 20000000);
-    AgentFixture_Answer(&fixture, 0);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Call(&fixture, 3, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_PACK, NULL);
+    agent_fixture_advance(&fixture, 20000000);
+    agent_fixture_answer(&fixture, 0);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 3, 1, FIXTURE_PACK, NULL);
 }
 
 static void
@@ -124,18 +124,18 @@
         uint32_t started_count;
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &row->setup);
+        agent_fixture_init(&fixture, &row->setup);
         row->prepare();
         started_count = fixture.started_count;
-        AgentFixture_Call(&fixture, 100, 1, row->operation, NULL);
-        AgentFixture_AssertNotRun(&fixture, 1, row->reason);
-        g_assert_true(AgentFixture_LastReply(&fixture)->has_token ==
+        agent_fixture_call(&fixture, 100, 1, row->operation, NULL);
+        agent_fixture_assert_not_run(&fixture, 1, row->reason);
+        g_assert_true(agent_fixture_last_reply(&fixture)->has_token ==
                       (row->reason == GB_NOT_RUN_BIND));
         g_assert_cmpuint(fixture.started_count, ==, started_count);
         if (row->counter != GB_COUNTER_END) {
             g_assert_cmpuint(fixture.counters.values[row->counter], ==, 1);
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -163,20 +163,20 @@
         struct FixtureSetup setup = {0};
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-        AgentFixture_End(&fixture, 0, row->end);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_end(&fixture, 0, row->end);
         if (row->reply == GB_MESSAGE_NOT_RUN) {
-            AgentFixture_AssertNotRun(&fixture, 1,
-                                      (enum GbNotRunReason)row->reason);
+            agent_fixture_assert_not_run(&fixture, 1,
+                                         (enum GbNotRunReason)row->reason);
         }
         else {
-            AgentFixture_AssertUnknown(&fixture, 1,
-                                       (enum GbUnknownReason)row->reason);
+            agent_fixture_assert_unknown(&fixture, 1,
+                                         (enum GbUnknownReason)row->reason);
         }
-        AgentFixture_Advance(&fixture, 5000000);
+        agent_fixture_advance(&fixture, 5000000);
         g_assert_cmpuint(fixture.started_count, ==, 1);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -216,17 +216,17 @@
         const struct BoundCase *row = &bound_cases[i];
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &row->setup);
+        agent_fixture_init(&fixture, &row->setup);
         for (uint32_t n = 1; n <= row->admitted; n++) {
-            AgentFixture_Call(&fixture, row->is_one_flow ? 1 : n, n,
-                              FIXTURE_LOOK, NULL);
+            agent_fixture_call(&fixture, row->is_one_flow ? 1 : n, n,
+                               FIXTURE_LOOK, NULL);
             g_assert_cmpuint(
                 fixture.counters.values[GB_COUNTER_REQUESTS_ADMITTED], ==, n);
         }
-        AgentFixture_Call(&fixture, row->is_one_flow ? 1 : row->admitted + 1,
-                          row->admitted + 1, FIXTURE_LOOK, NULL);
-        AgentFixture_AssertNotRun(&fixture, row->admitted + 1, row->reason);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_call(&fixture, row->is_one_flow ? 1 : row->admitted + 1,
+                           row->admitted + 1, FIXTURE_LOOK, NULL);
+        agent_fixture_assert_not_run(&fixture, row->admitted + 1, row->reason);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -237,14 +237,14 @@
 {
     struct FixtureSetup setup = {.slots = 1};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     fixture.agent.request_count = REQUESTS_MAX - 1;
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                     GB_MESSAGE_ACCEPTED);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_BUSY);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_BUSY);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against a rate that never recovers or that a pause lets through at
@@ -300,23 +300,97 @@
         struct FixtureSetup setup = {0};
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
+        agent_fixture_init(&fixture, &setup);
         for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
-            AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+            agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
         }
-        AgentFixture_Pause(&fixture, row->pause_us);
-        AgentFixture_Answer(&fixture, 0);
+        agent_fixture_pause(&fixture, row->pause_us);
+        agent_fixture_answer(&fixture, 0);
         g_assert_cmpuint(fixture.started_count, ==, row->started);
         if (row->started == 1) {
-            AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_DEADLINE);
+            agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_DEADLINE);
             g_assert_cmpuint(
                 fixture.counters.values[GB_COUNTER_DEADLINE_REFUSED], ==, 2);
         }
         GbAgent_Tick(&fixture.agent);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
+enum ReservationStep {
+    RESERVATION_KEPT,
+    RESERVATION_USED,
+    RESERVATION_LAPSED,
+};
+
+struct ReservationCase {
+    const char *name;
+    enum ReservationStep step;
+    uint32_t queued;
+    /* Whether another CALL is placed without questions to members. */
+    bool is_placed;
+};
+
+static const struct ReservationCase reservation_cases[] = {
+    {"token not used", RESERVATION_KEPT, 1, false},
+    {"token used and answered", RESERVATION_USED, 0, true},
+    {"token never used", RESERVATION_LAPSED, 0, true},
+};
+
+/* Guards against many tokens for one free slot, whose requests would then
+ * queue here while other members are idle, and against a slot that is kept
+ * for a caller which never comes. */
+static void
+test_reservation(void)
+{
+    static const struct GbLoad idle = {0, 0, 1, false};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reservation_cases); i++) {
+        const struct ReservationCase *row = &reservation_cases[i];
+        struct FixtureSetup setup = {.members = 1};
+        struct GbToken token;
+
+        g_test_message("%s", row->name);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_alive(&fixture, 1, &idle);
+        token = agent_fixture_bind(&fixture, 1, 1);
+        if (row->step == RESERVATION_USED) {
+            agent_fixture_call(&fixture, 1, 2, FIXTURE_BUY, &token);
+            agent_fixture_answer(&fixture, 0);
+        }
+        if (row->step == RESERVATION_LAPSED) {
+            agent_fixture_advance(&fixture, 20000);
+        }
+        agent_fixture_call(&fixture, 2, 1, FIXTURE_BUY, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
+            !row->is_placed);
+        g_assert_cmpuint(GbAgent_Load(&fixture.agent).queued, ==,
+                         row->queued + row->is_placed);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+/* Guards against reservations without a bound. */
+static void
+test_reservation_bound(void)
+{
+    struct GbReservations reservations;
+
+    GbReservations_Init(&reservations);
+    for (int i = 0; i <= GB_RESERVATIONS_MAX; i++) {
+        GbReservations_Add(&reservations, i);
+    }
+    g_assert_cmpuint(reservations.count, ==, GB_RESERVATIONS_MAX);
+    g_assert_cmpuint(GbReservations_Refresh(&reservations, 20009), ==,
+                     GB_RESERVATIONS_MAX - 10);
+    GbReservations_Take(&reservations);
+    g_assert_cmpuint(reservations.count, ==, GB_RESERVATIONS_MAX - 11);
+    g_assert_cmpuint(GbReservations_Refresh(&reservations, 100000), ==, 0);
+    GbReservations_Take(&reservations);
+    g_assert_cmpuint(reservations.count, ==, 0);
+}
+
 struct BodyCase {
     uint32_t size_bytes;
     bool is_busy;
@@ -343,10 +417,10 @@
         struct FixtureSetup setup = {.members = 1};
         struct GbMessage message = {.kind = GB_MESSAGE_CALL};
 
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Alive(&fixture, 1, &idle);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_alive(&fixture, 1, &idle);
         if (row->is_busy) {
-            AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+            agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
         }
         message.service_id = FIXTURE_SERVICE;
         message.flow_id = 1;
@@ -355,12 +429,12 @@
         message.call.body.data = body;
         message.call.body.size_bytes = row->size_bytes;
         GbAgent_Receive(&fixture.agent, &path, &message);
-        g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+        g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                         row->reply);
         if (row->reply == GB_MESSAGE_NOT_RUN) {
-            AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_TOO_LARGE);
+            agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_TOO_LARGE);
         }
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -371,12 +445,12 @@
 {
     struct FixtureSetup setup = {0};
 
-    AgentFixture_Init(&fixture, &setup);
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-    AgentFixture_Advance(&fixture, 1000000);
+    agent_fixture_init(&fixture, &setup);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_advance(&fixture, 1000000);
     g_assert_cmpuint(fixture.cancelled_count, ==, 1);
-    AgentFixture_AssertUnknown(&fixture, 1, GB_UNKNOWN_DEADLINE_PASSED);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_assert_unknown(&fixture, 1, GB_UNKNOWN_DEADLINE_PASSED);
+    agent_fixture_finish(&fixture);
 }
 
 /* Guards against a target that is slow but never refused because its work is
@@ -386,16 +460,16 @@
 {
     struct FixtureSetup setup = {0};
 
-    AgentFixture_Init(&fixture, &setup);
-    AgentFixture_Call(&fixture, 1, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Advance(&fixture, 30000000);
-    AgentFixture_Call(&fixture, 2, 1, FIXTURE_PACK, NULL);
-    AgentFixture_Call(&fixture, 3, 1, FIXTURE_PACK, NULL);
-    g_assert_cmpint(AgentFixture_LastReply(&fixture)->kind, ==,
+    agent_fixture_init(&fixture, &setup);
+    agent_fixture_call(&fixture, 1, 1, FIXTURE_PACK, NULL);
+    agent_fixture_advance(&fixture, 30000000);
+    agent_fixture_call(&fixture, 2, 1, FIXTURE_PACK, NULL);
+    agent_fixture_call(&fixture, 3, 1, FIXTURE_PACK, NULL);
+    g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
                     GB_MESSAGE_ACCEPTED);
-    AgentFixture_Call(&fixture, 4, 1, FIXTURE_PACK, NULL);
-    AgentFixture_AssertNotRun(&fixture, 1, GB_NOT_RUN_DEADLINE);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_call(&fixture, 4, 1, FIXTURE_PACK, NULL);
+    agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_DEADLINE);
+    agent_fixture_finish(&fixture);
 }
 
 int
@@ -408,6 +482,8 @@
     g_test_add_func("/admission/request_records", test_request_records);
     g_test_add_func("/admission/rate_refills", test_rate_refills);
     g_test_add_func("/admission/waking_late", test_waking_late);
+    g_test_add_func("/admission/reservation", test_reservation);
+    g_test_add_func("/admission/reservation_bound", test_reservation_bound);
     g_test_add_func("/admission/body_size", test_body_size);
     g_test_add_func("/admission/deadline_while_running",
                     test_deadline_while_running);
