Use the precise timer in tasks and in the target stand-in

Cause: libevent's default clock moves every 4 ms. Two waits of 80 ms in the target stand-in ended after 158.8 ms, so that /target_standin failed on every run on this machine, and a wait of 5 ms for load reports could be off by 4 ms.

Change: EVENT_BASE_FLAG_PRECISE_TIMER for the event base of each task and of the target stand-in.

--- a/src/transport/task.c
+++ b/src/transport/task.c
@@ -111,10 +111,24 @@
     self->timer_us = GB_TIMER_NEVER;
 }
 
+/* Without the flag, libevent reads a clock that moves every 4 ms: a wait of
+ * 5 ms for loads of other agents would end up to 4 ms early or late. */
+static struct event_base *
+new_base(void)
+{
+    struct event_config *config = event_config_new();
+    struct event_base *base;
+
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
 enum GbTransportStatus
 GbTask_Open(struct GbTask *self, struct GbLastMessage *last)
 {
-    self->base = event_base_new();
+    self->base = new_base();
     self->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     if (self->base == NULL || self->wake_fd < 0) {
         GbLastMessage_Set(last, "task %s: no event base: %s",
--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -257,6 +257,7 @@
     enum GbTransportStatus status =
         GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
                         argc, argv, &target, stderr);
+    struct event_config *config = event_config_new();
     struct event *term;
     struct event *sampler;
 
@@ -265,7 +266,10 @@
                                                   : GB_EXIT_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
-    target.base = event_base_new();
+    /* Work must take at least the time that was asked for. */
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    target.base = event_base_new_with_config(config);
+    event_config_free(config);
     GbSystemClock_Init(&target.clock);
     GbTargetJobs_Init(&target.jobs, target.base, &target.clock.super,
                       &target.mode);
