Use exact timers in every event base

libevent's default clock is the kernel's coarse one, which advances every 4 ms. Timers of the tasks fired 2.1 ms late in the median of 200 timers of 2 ms, which doubles the time for which an agent waits for its mates' load, and those of the target stand-in up to 1.7 ms early. All event bases of tasks and of the target stand-in now have precise timers: 20 us late in the median.

tests/test_task_timer.c failed before (2,138 us) and passes now, as does tests/test_target_standin.c in 8 runs of 8 under the sanitizers. The p50 of 50 checks a second with 2 ms of work went from 5.6, 5.5 and 3.3 ms to 3.7, 3.6 and 3.6 ms in three runs each (both on a busy machine).

--- a/src/transport/task.c
+++ b/src/transport/task.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "state/timer_queue.h"
+#include "transport/event_base.h"
 
 #define US_PER_SECOND 1000000
 
@@ -114,7 +115,7 @@
 enum GbTransportStatus
 GbTask_Open(struct GbTask *self, struct GbLastMessage *last)
 {
-    self->base = event_base_new();
+    self->base = GbEventBase_New();
     self->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     if (self->base == NULL || self->wake_fd < 0) {
         GbLastMessage_Set(last, "task %s: no event base: %s",
--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -13,6 +13,7 @@
 
 #include "standins/target_jobs.h"
 #include "state/address.h"
+#include "transport/event_base.h"
 #include "transport/process.h"
 #include "transport/settings.h"
 
@@ -265,7 +266,7 @@
                                                   : GB_EXIT_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
-    target.base = event_base_new();
+    target.base = GbEventBase_New();
     GbSystemClock_Init(&target.clock);
     GbTargetJobs_Init(&target.jobs, target.base, &target.clock.super,
                       &target.mode);
