--- a/src/coordination/agent.c
+++ b/src/coordination/agent.c
@@ -117,6 +117,17 @@
     return limit == 0 ? 0 : MAX(limit / shares, 1);
 }
 
+static bool
+has_short_work(const struct GbService *service)
+{
+    for (uint32_t i = 0; i < service->operation_count; i++) {
+        if (service->operations[i].work_class == GB_CLASS_SHORT) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 set_limits(struct GbAgent *self, int64_t now_us)
 {
@@ -180,6 +191,7 @@
     GbPool_Init(&self->pool);
     GbHandover_Init(&self->handover);
     GbRecentCalls_Init(&self->recent);
+    GbReservations_Init(&self->reservations);
     GbTargetState_Init(&self->target);
     self->alive_us = GB_TIMER_NEVER;
 }
@@ -236,7 +248,8 @@
     }
     set_limits(self, now_us);
     GbSlots_SetTotal(&self->slots, self->service->slots,
-                     self->service->ramp_ms, now_us);
+                     self->service->ramp_ms, has_short_work(self->service),
+                     now_us);
     set_drain_cause(self, GB_DRAIN_INSTANCE_LIST,
                     own != NULL && own->is_leaving);
     GbDelivery_Pump(self);
@@ -310,6 +323,14 @@
     return !self->is_draining && !self->target.is_down;
 }
 
+bool
+GbAgent_HasRoom(const struct GbAgent *self, enum GbOperationClass work_class)
+{
+    return GbSlots_HasRoom(&self->slots, work_class) &&
+           GbSlots_Running(&self->slots) + self->reservations.count <
+               self->slots.usable;
+}
+
 bool
 GbAgent_IsPastNewFlows(const struct GbAgent *self, int64_t now_us)
 {
@@ -346,7 +367,7 @@
 {
     struct GbLoad load = {
         .running = GbSlots_Running(&self->slots),
-        .queued = GbSlots_Queued(&self->slots),
+        .queued = GbSlots_Queued(&self->slots) + self->reservations.count,
         /* Members must not hand over to a target that does not connect. */
         .capacity = self->target.is_down ? 0 : self->slots.usable,
         .is_draining = self->is_draining,
@@ -366,7 +387,8 @@
     }
     next_us = MIN(next_us, self->alive_us);
     next_us = MIN(next_us, GbHandover_NextTimerUs(&self->handover));
-    if (GbSlots_Queued(&self->slots) > 0) {
+    if (GbSlots_Queued(&self->slots) > 0 ||
+        self->handover.waiting.length > 0) {
         next_us = MIN(next_us, GbSlots_NextChangeUs(&self->slots));
     }
     return next_us;
--- a/src/coordination/call_replies.c
+++ b/src/coordination/call_replies.c
@@ -48,6 +48,9 @@
         return false;
     }
     call->accepted_id = message->request_id;
+    /* Also without a token, if the agent's document says that the operation is
+     * idempotent. */
+    call->may_have_run |= call->bound_id != message->request_id;
     call->state = GB_CALL_ACCEPTED;
     call->repeat_us =
         GbClock_MonotonicUs(call->caller->clock) + GbCall_BackoffUs(call, 1);
@@ -108,6 +111,11 @@
         call->bound_id = 0;
         GbCall_DropToken(call);
     }
+    else if (call->operation->is_idempotent) {
+        /* The refusal is one agent's: a duplicate of an unbound CALL may have
+         * reached another one, or may yet, and run there. */
+        call->may_have_run = true;
+    }
     if (was_accepted) {
         call->accepted_id = 0;
     }
@@ -124,6 +132,12 @@
         GbCall_LatestId(call) != message->request_id) {
         return;
     }
+    if (call->accepted_id != 0 && call->accepted_id != message->request_id) {
+        /* The answer is coming from another agent. */
+        GbCall_Forget(call, message->request_id);
+        call->may_have_run = true;
+        return;
+    }
     if (message->unknown == GB_UNKNOWN_NO_RECORD) {
         GbCall_DropToken(call);
     }
--- a/tests/support/simulation.h
+++ b/tests/support/simulation.h
@@ -104,6 +104,14 @@
 void GbSimulation_ResumeLater(struct GbSimulation *self,
                               struct GbSimProcess *process, int64_t delay_us);
 
+/* Removes all faults of the network after delay_us. */
+void GbSimulation_HealLater(struct GbSimulation *self, int64_t delay_us);
+
+/* Lets a target take work again after delay_us. */
+void GbSimulation_OpenTargetLater(struct GbSimulation *self,
+                                  struct GbSimProcess *agent,
+                                  int64_t delay_us);
+
 /* Process by name; NULL if there is none. */
 struct GbSimProcess *GbSimulation_Find(const struct GbSimulation *self,
                                        const char *name);
@@ -124,7 +132,8 @@
 /* Runs until all calls have ended, or until a time. */
 void GbSimulation_RunCalls(struct GbSimulation *self, int64_t until_us);
 
-/* Adds what can only be said at the end: calls that did not end. */
+/* Adds what can only be said at the end: calls that did not end, processes
+ * that have an old document in force. */
 void GbSimulation_CheckEnd(struct GbSimulation *self);
 
 /* Runs of one call at targets. */
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -43,7 +43,7 @@
 
         GbSlots_Init(&slots, 1, 0);
         GbSlots_StartRamp(&slots, 0);
-        GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, 0);
+        GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, true, 0);
         GbSlots_Report(&slots, row->reported, row->at_us - 100000);
         for (uint32_t shed = 0; shed < row->sheds; shed++) {
             GbSlots_Shed(&slots, row->at_us - 100000);
@@ -63,7 +63,7 @@
 
     GbSlots_Init(&slots, 1, 0);
     GbSlots_StartRamp(&slots, 0);
-    GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, now_us);
+    GbSlots_SetTotal(&slots, TOTAL, RAMP_MS, true, now_us);
     GbSlots_Shed(&slots, now_us);
     GbSlots_Refresh(&slots, now_us + 999999);
     g_assert_cmpuint(slots.usable, ==, TOTAL - 1);
@@ -84,18 +84,23 @@
     uint32_t total;
     uint32_t running_short;
     uint32_t running_long;
+    bool keeps_short_slot;
     bool has_short_room;
     bool has_long_room;
 };
 
 static const struct RoomCase room_cases[] = {
-    {1, 0, 0, true, true},   {1, 0, 1, false, false}, {2, 0, 0, true, true},
-    {2, 0, 1, true, false},  {2, 1, 0, true, true},   {2, 1, 1, false, false},
-    {2, 2, 0, false, false}, {5, 0, 4, true, false},  {5, 0, 3, true, true},
+    {1, 0, 0, true, true, true},    {1, 0, 1, true, false, false},
+    {2, 0, 0, true, true, true},    {2, 0, 1, true, true, false},
+    {2, 1, 0, true, true, true},    {2, 1, 1, true, false, false},
+    {2, 2, 0, true, false, false},  {5, 0, 4, true, true, false},
+    {5, 0, 3, true, true, true},    {2, 0, 1, false, true, true},
+    {2, 0, 2, false, false, false},
 };
 
 /* Guards against long work that takes the last slot, behind which short work
- * would wait. */
+ * would wait, and against a slot that stays idle on hosts without short work.
+ */
 static void
 test_room(void)
 {
@@ -104,6 +109,7 @@
         struct GbSlots slots;
 
         GbSlots_Init(&slots, row->total, 0);
+        GbSlots_SetTotal(&slots, row->total, 0, row->keeps_short_slot, 0);
         for (uint32_t n = 0; n < row->running_short; n++) {
             GbSlots_Start(&slots, GB_CLASS_SHORT);
         }
@@ -157,16 +163,16 @@
 
 struct AgentCase {
     const char *name;
-    enum GbTargetEnd end;
     int64_t pause_us;
+    enum GbTargetEnd end;
     uint32_t usable;
 };
 
 static const struct AgentCase agent_cases[] = {
-    {"answered", GB_TARGET_WHOLE, 0, TOTAL},
-    {"shed", GB_TARGET_SHED, 0, TOTAL - 1},
-    {"shed 1 s ago", GB_TARGET_SHED, 1000000, TOTAL},
-    {"failed", GB_TARGET_FAILED, 0, TOTAL},
+    {"answered", 0, GB_TARGET_WHOLE, TOTAL},
+    {"shed", 0, GB_TARGET_SHED, TOTAL - 1},
+    {"shed 1 s ago", 1000000, GB_TARGET_SHED, TOTAL},
+    {"failed", 0, GB_TARGET_FAILED, TOTAL},
 };
 
 /* Guards against an agent that does not act on what its target answers. */
@@ -180,14 +186,44 @@
         const struct AgentCase *row = &agent_cases[i];
 
         g_test_message("%s", row->name);
-        AgentFixture_Init(&fixture, &setup);
-        AgentFixture_Call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
-        AgentFixture_End(&fixture, 0, row->end);
-        AgentFixture_Advance(&fixture, row->pause_us);
+        agent_fixture_init(&fixture, &setup);
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_end(&fixture, 0, row->end);
+        agent_fixture_advance(&fixture, row->pause_us);
         GbSlots_Refresh(&fixture.agent.slots, fixture.clock.monotonic_us);
         g_assert_cmpuint(GbAgent_Load(&fixture.agent).capacity, ==,
                          row->usable);
-        AgentFixture_Finish(&fixture);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+struct LongCase {
+    bool is_long_only;
+    uint32_t started;
+};
+
+static const struct LongCase long_cases[] = {
+    {false, TOTAL - 1},
+    {true, TOTAL},
+};
+
+/* Guards against long work that is given the slot of short work, or that is
+ * kept from a slot which no short work will ever use. */
+static void
+test_long_work(void)
+{
+    static struct AgentFixture fixture;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(long_cases); i++) {
+        struct FixtureSetup setup = {
+            .slots = TOTAL, .is_long_only = long_cases[i].is_long_only};
+
+        agent_fixture_init(&fixture, &setup);
+        for (uint64_t flow_id = 1; flow_id <= 2 * TOTAL; flow_id++) {
+            agent_fixture_call(&fixture, flow_id, 1, FIXTURE_PACK, NULL);
+        }
+        g_assert_cmpuint(fixture.started_count, ==, long_cases[i].started);
+        agent_fixture_finish(&fixture);
     }
 }
 
@@ -198,16 +234,16 @@
     static struct AgentFixture fixture;
     struct FixtureSetup setup = {.slots = TOTAL, .ramp_ms = 400};
 
-    AgentFixture_Init(&fixture, &setup);
+    agent_fixture_init(&fixture, &setup);
     for (uint64_t flow_id = 1; flow_id <= TOTAL; flow_id++) {
-        AgentFixture_Call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
     }
     g_assert_cmpuint(fixture.started_count, ==, 1);
-    AgentFixture_Advance(&fixture, 100000);
+    agent_fixture_advance(&fixture, 100000);
     g_assert_cmpuint(fixture.started_count, ==, 2);
-    AgentFixture_Advance(&fixture, 200000);
+    agent_fixture_advance(&fixture, 200000);
     g_assert_cmpuint(fixture.started_count, ==, TOTAL);
-    AgentFixture_Finish(&fixture);
+    agent_fixture_finish(&fixture);
 }
 
 int
@@ -219,6 +255,7 @@
     g_test_add_func("/slots/room", test_room);
     g_test_add_func("/slots/expected_wait", test_expected_wait);
     g_test_add_func("/slots/agent", test_agent);
+    g_test_add_func("/slots/long_work", test_long_work);
     g_test_add_func("/slots/ramp_starts_queued_work",
                     test_ramp_starts_queued_work);
     return g_test_run();
