Let a stopping balancer ignore datagrams that it does not forward

A stopping balancer exits when it has been quiet for quiet_ms, but any datagram counted, also the revisions that peers announce every second. Only datagrams that were forwarded or returned count.

--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -17,7 +17,8 @@
      GB_DATA_TASKS_MAX, "tasks", "Data tasks."},
     {"quiet-ms", GB_SETTING_NUMBER, offsetof(struct Settings, quiet_ms),
      "2000", 0, 600000, "ms",
-     "A stopping balancer ends when nothing has arrived for so long."},
+     "A stopping balancer ends when it has forwarded nothing for so "
+     "long."},
     {"stop-limit-ms", GB_SETTING_NUMBER,
      offsetof(struct Settings, super.stop_limit_ms), "30000", 0, 3600000, "ms",
      "A stopping balancer ends after so long in any case."},
--- a/src/transport/control_task.c
+++ b/src/transport/control_task.c
@@ -136,14 +136,19 @@
                          &self->instances_reply);
 }
 
+/* Datagrams of callers and agents. Others, such as the revisions that peers
+ * announce, arrive for as long as the process runs. */
 static uint64_t
-total_received(const struct GbControlTask *self)
+total_forwarded(const struct GbControlTask *self)
 {
     uint64_t total = 0;
 
     for (uint32_t i = 0; i < self->data_task_count; i++) {
-        total +=
-            self->reports[i].counters.values[GB_COUNTER_DATAGRAMS_RECEIVED];
+        const uint64_t *values = self->reports[i].counters.values;
+
+        total += values[GB_COUNTER_FORWARDED_BOUND] +
+                 values[GB_COUNTER_FORWARDED_UNBOUND] +
+                 values[GB_COUNTER_RETURNED];
     }
     return total;
 }
@@ -152,19 +157,19 @@
 check_stopped(struct GbControlTask *self)
 {
     int64_t now_us = GbClock_MonotonicUs(self->super.clock);
-    uint64_t received = total_received(self);
+    uint64_t forwarded = total_forwarded(self);
     bool is_done;
 
-    if (received != self->received_last) {
-        self->received_last = received;
-        self->received_us = now_us;
+    if (forwarded != self->forwarded_last) {
+        self->forwarded_last = forwarded;
+        self->forwarded_us = now_us;
     }
     if (!self->is_stopping || self->is_done) {
         return;
     }
     is_done = self->config.role == GB_ROLE_AGENT
                   ? self->reports[0].is_drained
-                  : now_us - self->received_us >= self->config.quiet_us;
+                  : now_us - self->forwarded_us >= self->config.quiet_us;
     if (is_done) {
         self->is_done = true;
         g_async_queue_push(self->config.done, self);
--- a/src/transport/control_task.h
+++ b/src/transport/control_task.h
@@ -14,7 +14,8 @@
     char instance_name[GB_NAME_BYTES];
     struct GbAddress platform;
     struct GbAddress http_listen;
-    /* A stopping balancer is done when nothing has arrived for so long. */
+    /* A stopping balancer is done when it has forwarded nothing for so
+     * long. */
     int64_t quiet_us;
     /* Is given one item when a stop is done; owned by the program. */
     GAsyncQueue *done;
@@ -40,8 +41,8 @@
     bool is_reading_document;
     bool is_stopping;
     bool is_done;
-    uint64_t received_last;
-    int64_t received_us;
+    uint64_t forwarded_last;
+    int64_t forwarded_us;
     int64_t poll_us;
 };
 
