--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -13,6 +13,7 @@
 
 #include "standins/target_jobs.h"
 #include "state/address.h"
+#include "transport/event_base.h"
 #include "transport/process.h"
 #include "transport/settings.h"
 
@@ -257,7 +258,6 @@
     enum GbTransportStatus status =
         GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
                         argc, argv, &target, stderr);
-    struct event_config *config = event_config_new();
     struct event *term;
     struct event *sampler;
 
@@ -266,10 +266,7 @@
                                                   : GB_EXIT_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
-    /* Work must take at least the time that was asked for. */
-    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
-    target.base = event_base_new_with_config(config);
-    event_config_free(config);
+    target.base = GbEventBase_New();
     GbSystemClock_Init(&target.clock);
     GbTargetJobs_Init(&target.jobs, target.base, &target.clock.super,
                       &target.mode);
