--- a/tests/support/policy_hosts.h
+++ b/tests/support/policy_hosts.h
@@ -10,6 +10,7 @@
 #define HOSTS_MAX 16
 #define CALLERS 16
 #define SERVICE_ID 1
+#define AGENTS_NETWORK 0x0a000000
 
 struct PolicyFleet;
 
@@ -78,4 +79,11 @@
 
 void policy_fleet_reset_load(struct PolicyFleet *self);
 
+/* Lets an event happen later. */
+void policy_fleet_post(struct PolicyFleet *self, struct Event *event,
+                       int64_t after_us);
+
+/* Sets the caller's timer after the caller was called from outside. */
+void policy_fleet_arm_caller(struct CallerHost *caller);
+
 #endif
--- /dev/null
+++ b/tests/test_handover.c
@@ -0,0 +1,322 @@
+#include <glib.h>
+
+#include "coordination/handover.h"
+#include "support/agent_fixture.h"
+
+#define MEMBERS 3
+#define WAIT_US 5000
+
+static struct AgentFixture fixture;
+
+static const struct GbLoad idle = {0, 0, 1, false};
+
+/* One slot that is busy with long work, and members that were heard. */
+static void
+start_busy(uint32_t members, const struct GbLoad *load)
+{
+    struct FixtureSetup setup = {.members = members};
+
+    agent_fixture_init(&fixture, &setup);
+    for (uint32_t i = 1; i <= members; i++) {
+        agent_fixture_alive(&fixture, i, load);
+    }
+    agent_fixture_call(&fixture, 1000, 1, FIXTURE_PACK, NULL);
+    g_assert_cmpuint(fixture.started_count, ==, 1);
+}
+
+struct HandoverCase {
+    const char *name;
+    enum FixtureOperation operation;
+    /* Loads that the members report, from index 1. */
+    struct GbLoad loads[MEMBERS + 1];
+    /* Member that gets the CALL; 0 if it stays. */
+    uint32_t member;
+};
+
+static const struct HandoverCase handover_cases[] = {
+    {"one is idle",
+     FIXTURE_LOOK,
+     {{0}, {1, 1, 1, false}, {0, 0, 1, false}, {1, 0, 1, false}},
+     2},
+    {"not idempotent",
+     FIXTURE_BUY,
+     {{0}, {1, 1, 1, false}, {1, 2, 1, false}, {0, 0, 1, false}},
+     3},
+    {"long",
+     FIXTURE_PACK,
+     {{0}, {0, 0, 1, false}, {1, 2, 1, false}, {1, 0, 1, false}},
+     1},
+    {"capacity counts",
+     FIXTURE_LOOK,
+     {{0}, {1, 0, 1, false}, {3, 0, 5, false}, {2, 0, 3, false}},
+     2},
+    {"all as busy",
+     FIXTURE_LOOK,
+     {{0}, {1, 0, 1, false}, {1, 0, 1, false}, {1, 0, 1, false}},
+     0},
+    {"all busier",
+     FIXTURE_LOOK,
+     {{0}, {1, 4, 1, false}, {1, 1, 1, false}, {1, 2, 1, false}},
+     0},
+    {"the idle one is draining",
+     FIXTURE_LOOK,
+     {{0}, {0, 0, 1, true}, {1, 0, 1, false}, {1, 0, 1, false}},
+     0},
+    {"the idle one has no target",
+     FIXTURE_LOOK,
+     {{0}, {0, 0, 0, false}, {1, 0, 1, false}, {1, 0, 1, false}},
+     0},
+};
+
+/* Guards against a CALL that goes to a busier, draining or dead member, or
+ * that is both handed over and placed here. */
+static void
+test_handover(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(handover_cases); i++) {
+        const struct HandoverCase *row = &handover_cases[i];
+        const struct FixtureSent *sent;
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &idle);
+        fixture.reply_count = 0;
+        agent_fixture_call(&fixture, 1, 1, row->operation, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==, 3);
+        g_assert_cmpuint(fixture.reply_count, ==, 0);
+        agent_fixture_report(&fixture, row->loads);
+        sent = agent_fixture_last_sent(&fixture, GB_MESSAGE_HANDOVER);
+        if (row->member == 0) {
+            g_assert_null(sent);
+            g_assert_cmpuint(fixture.reply_count, ==, 1);
+        }
+        else {
+            struct GbAddress to = agent_fixture_address(row->member);
+
+            g_assert_nonnull(sent);
+            g_assert_true(GbAddress_Equal(&sent->to, &to));
+            g_assert_cmpuint(sent->message.flow_id, ==, 1);
+            g_assert_cmpuint(sent->message.token.flow_id, ==, 0);
+            g_assert_cmpuint(sent->message.handover.path.tag, ==, 99);
+            g_assert_cmpuint(sent->message.handover.path.balancer.port, ==,
+                             6000);
+            g_assert_cmpuint(fixture.reply_count, ==, 0);
+        }
+        g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+struct SilenceCase {
+    const char *name;
+    /* Time before the CALL at which the members were last heard. */
+    int64_t heard_before_us;
+    uint64_t leaving;
+    /* What they said. */
+    struct GbLoad load;
+    uint32_t asks;
+    /* Time after which the CALL is placed here. */
+    int64_t placed_after_us;
+};
+
+static const struct SilenceCase silence_cases[] = {
+    {"no answer", 0, 0, {0, 0, 1, false}, 3, WAIT_US},
+    {"heard 3 s ago", 3000000, 0, {0, 0, 1, false}, 3, WAIT_US},
+    {"not heard for 4 s", 4000000, 0, {0, 0, 1, false}, 0, 0},
+    {"one is leaving by the list", 0, 2, {0, 0, 1, false}, 2, WAIT_US},
+    {"all are leaving by the list", 0, 14, {0, 0, 1, false}, 0, 0},
+    {"all have said that they drain", 0, 0, {0, 0, 1, true}, 0, 0},
+    {"no member has a target", 0, 0, {0, 0, 0, false}, 0, 0},
+};
+
+/* Guards against a CALL that waits for members who do not answer, and against
+ * questions to members that take nothing. */
+static void
+test_no_answer(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+        const struct SilenceCase *row = &silence_cases[i];
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &row->load);
+        agent_fixture_set_view(&fixture, row->leaving);
+        agent_fixture_advance(&fixture, row->heard_before_us);
+        fixture.reply_count = 0;
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
+            row->asks);
+        if (row->placed_after_us > 0) {
+            agent_fixture_advance(&fixture, row->placed_after_us - 1);
+            g_assert_cmpuint(fixture.reply_count, ==, 0);
+            agent_fixture_advance(&fixture, 1);
+        }
+        g_assert_cmpuint(fixture.reply_count, ==, 1);
+        g_assert_cmpint(agent_fixture_last_reply(&fixture)->kind, ==,
+                        GB_MESSAGE_ACCEPTED);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+struct SlotFreeCase {
+    const char *name;
+    enum FixtureOperation operation;
+    bool is_draining;
+    /* Whether the CALL is placed when the slot becomes free. */
+    bool is_placed;
+    /* Of the CALL and a second one of short work. */
+    uint32_t handovers;
+};
+
+static const struct SlotFreeCase slot_free_cases[] = {
+    {"idempotent", FIXTURE_LOOK, false, true, 1},
+    /* The slot is reserved for the token, so that the second CALL goes. */
+    {"not idempotent", FIXTURE_BUY, false, true, 1},
+    {"long", FIXTURE_PACK, false, true, 1},
+    {"draining", FIXTURE_LOOK, true, false, 2},
+};
+
+/* Guards against a CALL that waits for reports while a slot here is free, and
+ * against one that a late report hands over after it was placed. */
+static void
+test_slot_free(void)
+{
+    static const struct GbLoad loads[] = {
+        {0}, {0, 0, 1, false}, {0, 0, 1, false}, {0, 0, 1, false}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(slot_free_cases); i++) {
+        const struct SlotFreeCase *row = &slot_free_cases[i];
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &idle);
+        agent_fixture_call(&fixture, 1, 1, row->operation, NULL);
+        agent_fixture_call(&fixture, 2, 1, FIXTURE_LOOK, NULL);
+        if (row->is_draining) {
+            GbAgent_Drain(&fixture.agent);
+        }
+        fixture.reply_count = 0;
+        agent_fixture_answer(&fixture, 0);
+        /* The answer of the first request comes first. */
+        g_assert_true((fixture.reply_count > 1) == row->is_placed);
+        if (row->is_placed) {
+            g_assert_cmpuint(fixture.replies[1].flow_id, ==, 1);
+        }
+        agent_fixture_report(&fixture, loads);
+        agent_fixture_advance(&fixture, WAIT_US);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_HANDOVER), ==,
+            row->handovers);
+        g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+/* Guards against a waiting CALL that is placed twice when several slots become
+ * free at once, here because three shed answers end together. */
+static void
+test_slots_free_together(void)
+{
+    struct FixtureSetup setup = {.members = 1, .slots = 3};
+
+    agent_fixture_init(&fixture, &setup);
+    for (uint64_t flow_id = 1; flow_id <= 3; flow_id++) {
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+    }
+    agent_fixture_end(&fixture, 0, GB_TARGET_SHED);
+    agent_fixture_end(&fixture, 1, GB_TARGET_SHED);
+    agent_fixture_end(&fixture, 2, GB_TARGET_SHED);
+    agent_fixture_advance(&fixture, 900000);
+    agent_fixture_alive(&fixture, 1, &idle);
+    g_assert_cmpuint(GbAgent_Load(&fixture.agent).capacity, ==, 1);
+    agent_fixture_advance(&fixture, 98000);
+    fixture.started_count = 0;
+    fixture.reply_count = 0;
+    agent_fixture_call(&fixture, 5, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 6, 1, FIXTURE_LOOK, NULL);
+    agent_fixture_call(&fixture, 7, 1, FIXTURE_LOOK, NULL);
+    g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 2);
+    agent_fixture_advance(&fixture, 2000);
+    g_assert_cmpuint(fixture.agent.handover.waiting.length, ==, 0);
+    g_assert_cmpuint(fixture.started_count, ==, 3);
+    g_assert_cmpuint(fixture.reply_count, ==, 3);
+    agent_fixture_finish(&fixture);
+}
+
+/* Guards against waiting CALLs without a bound, and against one that gets no
+ * answer when the bound is reached. */
+static void
+test_full_waiting_table(void)
+{
+    start_busy(MEMBERS, &idle);
+    fixture.reply_count = 0;
+    for (uint64_t flow_id = 1; flow_id <= GB_HANDOVER_WAITING_MAX; flow_id++) {
+        agent_fixture_call(&fixture, flow_id, 1, FIXTURE_LOOK, NULL);
+    }
+    g_assert_cmpuint(fixture.reply_count, ==, 0);
+    agent_fixture_call(&fixture, 500, 1, FIXTURE_LOOK, NULL);
+    g_assert_cmpuint(fixture.reply_count, ==, 1);
+    g_assert_cmpuint(agent_fixture_last_reply(&fixture)->flow_id, ==, 500);
+    g_assert_cmpuint(fixture.counters.values[GB_COUNTER_WAITING_REFUSED], ==,
+                     1);
+    agent_fixture_advance(&fixture, WAIT_US);
+    g_assert_cmpuint(fixture.reply_count, ==, GB_HANDOVER_WAITING_MAX + 1);
+    agent_fixture_finish(&fixture);
+}
+
+struct DuplicateCase {
+    const char *name;
+    bool is_reported;
+    uint64_t flow_id;
+    uint32_t request_id;
+    /* Questions in all after the second CALL. */
+    uint32_t asks;
+};
+
+static const struct DuplicateCase duplicate_cases[] = {
+    {"while waiting", false, 1, 1, 3},
+    {"after the hand-over", true, 1, 1, 3},
+    {"another request", false, 1, 2, 6},
+    {"another flow", true, 2, 1, 6},
+};
+
+/* Guards against a duplicate datagram that is refused here while its first
+ * copy runs at the member: the caller would be told "not run" of a request
+ * that ran. */
+static void
+test_duplicate(void)
+{
+    static const struct GbLoad loads[] = {
+        {0}, {0, 0, 1, false}, {0, 0, 1, false}, {0, 0, 1, false}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(duplicate_cases); i++) {
+        const struct DuplicateCase *row = &duplicate_cases[i];
+
+        g_test_message("%s", row->name);
+        start_busy(MEMBERS, &idle);
+        fixture.reply_count = 0;
+        agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
+        if (row->is_reported) {
+            agent_fixture_report(&fixture, loads);
+        }
+        agent_fixture_call(&fixture, row->flow_id, row->request_id,
+                           FIXTURE_LOOK, NULL);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
+            row->asks);
+        g_assert_cmpuint(fixture.reply_count, ==, 0);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/handover/handover", test_handover);
+    g_test_add_func("/handover/no_answer", test_no_answer);
+    g_test_add_func("/handover/slot_free", test_slot_free);
+    g_test_add_func("/handover/slots_free_together", test_slots_free_together);
+    g_test_add_func("/handover/full_waiting_table", test_full_waiting_table);
+    g_test_add_func("/handover/duplicate", test_duplicate);
+    return g_test_run();
+}
