Run the exchange of documents in the control task

The control task polled the platform once a second and took whatever it answered. It now connects GbDocumentSync with the platform client, with the TCP sockets of other processes and with the data tasks: control_task keeps the task, control_sync the calls, control_http the answers to operators. REVISION datagrams leave through the first data task by GbAnnounceMail. /status, /audit and /metrics tell what was accepted and when it came into force; each audit record is one log line. A view is published only once the process is ready, so that no data task acts on a document that peers know to be old.

The TCP socket is bound first and the UDP sockets to its port: with port 0 the system then picks a port that no other TCP socket has.

The watch that was started longer ago is served first. GbView_New takes two passes over the instance list instead of one for each service.

Edits in files of others: an else-if in balancer_task and agent_task, GbAnnounceMail in mails, the order of opening in both mains.

--- a/src/coordination/call_budget.c
+++ b/src/coordination/call_budget.c
@@ -27,10 +27,10 @@
 }
 
 bool
-GbCallBudget_Spend(struct GbCallBudget *self, uint32_t reserve, int64_t now_us)
+GbCallBudget_Spend(struct GbCallBudget *self, int64_t now_us)
 {
     refill(self, now_us);
-    if (self->tokens <= reserve) {
+    if (self->tokens == 0) {
         return false;
     }
     self->tokens--;
@@ -38,13 +38,10 @@
 }
 
 int64_t
-GbCallBudget_ReadyUs(const struct GbCallBudget *self, uint32_t reserve)
+GbCallBudget_ReadyUs(const struct GbCallBudget *self)
 {
-    if (self->tokens > reserve) {
-        return self->refilled_us;
-    }
-    return self->refilled_us +
-           (int64_t)(reserve + 1 - self->tokens) * REFILL_US;
+    return self->tokens > 0 ? self->refilled_us
+                            : self->refilled_us + REFILL_US;
 }
 
 int64_t
--- a/src/coordination/call_budget.h
+++ b/src/coordination/call_budget.h
@@ -17,13 +17,11 @@
 
 void GbCallBudget_Init(struct GbCallBudget *self, int64_t now_us);
 
-/* Takes a token if at least reserve tokens remain after it. */
-bool GbCallBudget_Spend(struct GbCallBudget *self, uint32_t reserve,
-                        int64_t now_us);
+/* Takes a token. Returns false if there is none. */
+bool GbCallBudget_Spend(struct GbCallBudget *self, int64_t now_us);
 
 /* Earliest time at which GbCallBudget_Spend can succeed. */
-int64_t GbCallBudget_ReadyUs(const struct GbCallBudget *self,
-                             uint32_t reserve);
+int64_t GbCallBudget_ReadyUs(const struct GbCallBudget *self);
 
 /* Exponential backoff with jitter. */
 struct GbBackoff {
--- a/src/coordination/document_sync.c
+++ b/src/coordination/document_sync.c
@@ -1,5 +1,6 @@
 #include "coordination/document_sync.h"
 
+#include <glib.h>
 #include <string.h>
 
 #include "state/timer_queue.h"
@@ -10,6 +11,7 @@
 #define WATCH_WAIT_MS 20000
 /* A watch that is answered later than this after its wait has failed. */
 #define CALL_TIMEOUT_US (2 * US_PER_SECOND)
+#define WATCH_US (WATCH_WAIT_MS * US_PER_MS + CALL_TIMEOUT_US)
 #define PULL_TIMEOUT_US (2 * US_PER_SECOND)
 #define SETTLING_LIMIT_US (5 * US_PER_SECOND)
 /* A change ends all watches of the fleet at once: 9,230 processes that watch
@@ -18,15 +20,10 @@
 /* Most processes get a new document from a peer within this time and need not
  * read it from the platform. */
 #define READ_SPREAD_US (500 * US_PER_MS)
+#define ANNOUNCE_PERIOD_US US_PER_SECOND
 /* Wait after a peer had nothing of what it announced. */
 #define FALSE_ANNOUNCEMENT_US US_PER_SECOND
-#define ANNOUNCE_PERIOD_US US_PER_SECOND
 #define ANNOUNCE_FANOUT 4
-/* Tokens that stay for more urgent calls: the read of a document is never
- * held up by a watch. */
-#define HEAD_RESERVE 1
-#define INSTANCES_RESERVE 2
-#define DOCUMENT_RESERVE 0
 
 static int64_t
 now_us(const struct GbDocumentSync *self)
@@ -38,56 +35,36 @@
 start_call(struct GbDocumentSync *self, struct GbSyncCall *call,
            int64_t timeout_us)
 {
-    call->is_active = true;
-    call->call_id = ++self->last_call_id;
-    call->started_us = now_us(self);
-    call->deadline_us = call->started_us + timeout_us;
-    return call->call_id;
-}
-
-/* Returns false if the answer belongs to a call that was stopped. */
-static bool
-end_call(struct GbSyncCall *call, uint32_t call_id)
-{
-    if (!call->is_active || call->call_id != call_id) {
-        return false;
-    }
-    call->is_active = false;
-    return true;
-}
-
-static void
-back_off(struct GbDocumentSync *self, struct GbSyncCall *call)
-{
-    call->next_us =
-        now_us(self) + GbBackoff_Fail(&call->backoff, self->random);
+    return GbSyncCall_Start(call, ++self->last_call_id, now_us(self),
+                            timeout_us);
 }
 
 static void
 fail_platform_call(struct GbDocumentSync *self, struct GbSyncCall *call)
 {
     GbCounters_Add(self->counters, GB_COUNTER_PLATFORM_FAILURES, 1);
-    back_off(self, call);
+    GbSyncCall_BackOff(call, now_us(self), self->random);
 }
 
-/* Plans the next watch after an answer. */
 static void
-plan_watch(struct GbDocumentSync *self, struct GbSyncCall *call,
+plan_watch(struct GbDocumentSync *self, struct GbSyncCall *call, bool is_first,
            bool is_changed)
 {
     int64_t now = now_us(self);
 
-    if (is_changed) {
-        GbBackoff_Reset(&call->backoff);
-        call->next_us = now + GbRandom_Below(self->random, REWATCH_SPREAD_US);
+    if (is_first) {
+        GbSyncCall_Plan(call, now);
+    }
+    else if (is_changed) {
+        GbSyncCall_Plan(call,
+                        now + GbRandom_Below(self->random, REWATCH_SPREAD_US));
     }
     else if (now - call->started_us < WATCH_WAIT_MS * US_PER_MS / 2) {
         /* A platform that does not wait would be asked without pause. */
-        back_off(self, call);
+        GbSyncCall_BackOff(call, now, self->random);
     }
     else {
-        GbBackoff_Reset(&call->backoff);
-        call->next_us = now;
+        GbSyncCall_Plan(call, now);
     }
 }
 
@@ -162,13 +139,14 @@
 {
     struct GbDocumentHead known =
         GbDocument_Head(GbAcceptance_Highest(self->acceptance));
-    uint32_t call_id = start_call(self, &self->pull_call, PULL_TIMEOUT_US);
 
     GbCounters_Add(self->counters, GB_COUNTER_PEER_PULLS, 1);
-    self->port->klass->pull(self->port, call_id, &self->pulled.from, &known);
+    start_call(self, &self->pull_call, PULL_TIMEOUT_US);
+    self->port->klass->pull(self->port, self->pull_call.call_id,
+                            &self->pulled.from, &known);
 }
 
-/* After a pull that failed another peer is asked for the same revision. */
+/* Another peer is asked for the same revision. */
 static void
 fail_pull(struct GbDocumentSync *self)
 {
@@ -218,13 +196,12 @@
 }
 
 static bool
-may_call(struct GbDocumentSync *self, const struct GbSyncCall *call,
-         uint32_t reserve)
+may_call(struct GbDocumentSync *self, const struct GbSyncCall *call)
 {
     int64_t now = now_us(self);
 
     if (call->is_active || now < call->next_us ||
-        !GbCallBudget_Spend(&self->budget, reserve, now)) {
+        !GbCallBudget_Spend(&self->budget, now)) {
         return false;
     }
     GbCounters_Add(self->counters, GB_COUNTER_PLATFORM_CALLS, 1);
@@ -232,26 +209,46 @@
 }
 
 static void
-call_platform(struct GbDocumentSync *self)
+watch_head(struct GbDocumentSync *self)
 {
-    static const int64_t watch_us =
-        WATCH_WAIT_MS * US_PER_MS + CALL_TIMEOUT_US;
-    uint32_t call_id;
+    if (may_call(self, &self->head_call)) {
+        uint32_t call_id = start_call(self, &self->head_call, WATCH_US);
 
-    if (is_document_wanted(self) &&
-        may_call(self, &self->document_call, DOCUMENT_RESERVE)) {
-        call_id = start_call(self, &self->document_call, CALL_TIMEOUT_US);
-        self->port->klass->read_document(self->port, call_id, &self->wanted);
+        self->port->klass->watch_head(self->port, call_id,
+                                      &self->platform_head, WATCH_WAIT_MS);
     }
-    if (may_call(self, &self->instances_call, INSTANCES_RESERVE)) {
-        call_id = start_call(self, &self->instances_call, watch_us);
+}
+
+static void
+watch_instances(struct GbDocumentSync *self)
+{
+    if (may_call(self, &self->instances_call)) {
+        uint32_t call_id = start_call(self, &self->instances_call, WATCH_US);
+
         self->port->klass->watch_instances(
             self->port, call_id, self->platform_version, WATCH_WAIT_MS);
     }
-    if (may_call(self, &self->head_call, HEAD_RESERVE)) {
-        call_id = start_call(self, &self->head_call, watch_us);
-        self->port->klass->watch_head(self->port, call_id,
-                                      &self->platform_head, WATCH_WAIT_MS);
+}
+
+/* A document that is known to exist goes first. Of the watches the one that
+ * was started longer ago goes first, so that changes of one kind do not hold
+ * up the other when tokens are short. */
+static void
+call_platform(struct GbDocumentSync *self)
+{
+    if (is_document_wanted(self) && may_call(self, &self->document_call)) {
+        uint32_t call_id =
+            start_call(self, &self->document_call, CALL_TIMEOUT_US);
+
+        self->port->klass->read_document(self->port, call_id, &self->wanted);
+    }
+    if (self->head_call.call_id < self->instances_call.call_id) {
+        watch_head(self);
+        watch_instances(self);
+    }
+    else {
+        watch_instances(self);
+        watch_head(self);
     }
 }
 
@@ -282,17 +279,11 @@
     }
 }
 
-static int64_t
-earlier(int64_t a_us, int64_t b_us)
-{
-    return a_us < b_us ? a_us : b_us;
-}
-
 static int64_t
 platform_timer_us(const struct GbDocumentSync *self,
-                  const struct GbSyncCall *call, uint32_t reserve)
+                  const struct GbSyncCall *call)
 {
-    int64_t ready_us = GbCallBudget_ReadyUs(&self->budget, reserve);
+    int64_t ready_us = GbCallBudget_ReadyUs(&self->budget);
 
     if (call->is_active) {
         return call->deadline_us;
@@ -343,7 +334,7 @@
 {
     bool is_changed;
 
-    if (!end_call(&self->head_call, call_id)) {
+    if (!GbSyncCall_End(&self->head_call, call_id)) {
         return;
     }
     if (head == NULL) {
@@ -351,8 +342,9 @@
         return;
     }
     is_changed = GbDocumentHead_Compare(head, &self->platform_head) != 0;
+    plan_watch(self, &self->head_call, self->platform_head.revision == 0,
+               is_changed);
     self->platform_head = *head;
-    plan_watch(self, &self->head_call, is_changed);
     if (!is_changed) {
         return;
     }
@@ -371,7 +363,7 @@
                             enum GbReadOutcome outcome,
                             struct GbDocument *document)
 {
-    if (!end_call(&self->document_call, call_id)) {
+    if (!GbSyncCall_End(&self->document_call, call_id)) {
         return;
     }
     switch (outcome) {
@@ -395,7 +387,7 @@
 {
     bool is_changed;
 
-    if (!end_call(&self->instances_call, call_id)) {
+    if (!GbSyncCall_End(&self->instances_call, call_id)) {
         return;
     }
     if (list == NULL) {
@@ -403,8 +395,8 @@
         return;
     }
     is_changed = list->version != self->platform_version;
+    plan_watch(self, &self->instances_call, self->list == NULL, is_changed);
     self->platform_version = list->version;
-    plan_watch(self, &self->instances_call, is_changed);
     if (!is_changed) {
         return;
     }
@@ -431,7 +423,7 @@
                          const struct GbDocumentHead *head,
                          struct GbDocument *document)
 {
-    if (!end_call(&self->pull_call, call_id)) {
+    if (!GbSyncCall_End(&self->pull_call, call_id)) {
         return;
     }
     if (outcome == GB_READ_FAILED) {
@@ -482,17 +474,13 @@
 GbDocumentSync_NextTimerUs(const struct GbDocumentSync *self)
 {
     int64_t next_us =
-        earlier(self->announce_us, GbAcceptance_NextTimerUs(self->acceptance));
+        MIN(self->announce_us, GbAcceptance_NextTimerUs(self->acceptance));
 
-    next_us = earlier(next_us, pull_timer_us(self));
-    next_us = earlier(next_us,
-                      platform_timer_us(self, &self->head_call, HEAD_RESERVE));
-    next_us = earlier(next_us, platform_timer_us(self, &self->instances_call,
-                                                 INSTANCES_RESERVE));
+    next_us = MIN(next_us, pull_timer_us(self));
+    next_us = MIN(next_us, platform_timer_us(self, &self->head_call));
+    next_us = MIN(next_us, platform_timer_us(self, &self->instances_call));
     if (is_document_wanted(self) || self->document_call.is_active) {
-        next_us =
-            earlier(next_us, platform_timer_us(self, &self->document_call,
-                                               DOCUMENT_RESERVE));
+        next_us = MIN(next_us, platform_timer_us(self, &self->document_call));
     }
     return next_us;
 }
--- a/src/coordination/document_sync.h
+++ b/src/coordination/document_sync.h
@@ -2,9 +2,9 @@
 #define GB_COORDINATION_DOCUMENT_SYNC_H
 
 #include "coordination/acceptance.h"
-#include "coordination/call_budget.h"
 #include "coordination/document_sync_port.h"
 #include "coordination/peer_choice.h"
+#include "coordination/sync_call.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/random.h"
@@ -12,17 +12,6 @@
 /* Processes that a new process asks before it trusts the platform. */
 #define GB_SETTLING_PEERS 3
 
-/* One kind of call, of which at most one is in progress. */
-struct GbSyncCall {
-    bool is_active;
-    uint32_t call_id;
-    int64_t started_us;
-    int64_t deadline_us;
-    /* Not before this time. */
-    int64_t next_us;
-    struct GbBackoff backoff;
-};
-
 /* Decides when a process calls the platform and from which other process it
  * takes documents. */
 struct GbDocumentSync {
--- a/src/programs/guavabend_agent_main.c
+++ b/src/programs/guavabend_agent_main.c
@@ -65,38 +65,54 @@
 };
 
 static void
-init_tasks(struct Agent *self, const struct Settings *settings)
+init_control(struct Agent *self, const struct Settings *settings)
 {
     struct GbControlTaskConfig control = {.role = GB_ROLE_AGENT};
-    struct GbAgentTaskConfig data = {0};
 
     g_strlcpy(control.instance_name, settings->instance, GB_NAME_BYTES);
     control.platform = settings->platform;
     control.http_listen = settings->http_listen;
     control.done = self->done;
     GbControlTask_Init(&self->control, &control, &self->clock.super);
+}
+
+static void
+init_data(struct Agent *self, const struct Settings *settings,
+          const struct GbAddress *listen)
+{
+    struct GbAgentTaskConfig data = {0};
+
     GbTargetTask_Init(&self->target, &settings->target, &self->data.super,
                       &self->clock.super);
-    data.listen = settings->listen;
+    data.listen = *listen;
     data.keys = &self->keys;
     data.control = &self->control.super;
     data.target = &self->target;
     data.agent.instance_id = GbInstance_IdOfName(settings->instance);
     randombytes_buf(&data.agent.incarnation, sizeof(data.agent.incarnation));
     g_strlcpy(data.agent.service, settings->service, GB_NAME_BYTES);
-    data.agent.address = settings->listen;
+    data.agent.address = *listen;
     GbAgentTask_Init(&self->data, &data, &self->clock.super);
     GbControlTask_AddDataTask(&self->control, &self->data.super);
 }
 
 static enum GbTransportStatus
-start(struct Agent *self, struct GbLastMessage *last)
+start(struct Agent *self, const struct Settings *settings,
+      struct GbLastMessage *last)
 {
     struct GbTask *tasks[] = {&self->control.super, &self->target.super,
                               &self->data.super};
-    enum GbTransportStatus status = GB_TRANSPORT_OK;
+    struct GbAddress listen = settings->listen;
+    enum GbTransportStatus status;
 
-    for (size_t i = 0; status == GB_TRANSPORT_OK && i < G_N_ELEMENTS(tasks);
+    init_control(self, settings);
+    status = GbTask_Open(&self->control.super, last);
+    if (status == GB_TRANSPORT_OK) {
+        status =
+            GbControlTask_Listen(&self->control, &listen, &self->keys, last);
+    }
+    init_data(self, settings, &listen);
+    for (size_t i = 1; status == GB_TRANSPORT_OK && i < G_N_ELEMENTS(tasks);
          i++) {
         status = GbTask_Open(tasks[i], last);
     }
@@ -161,8 +177,7 @@
         !sodium_is_zero(settings.previous_key, GB_KEY_BYTES);
     agent.done = g_async_queue_new();
     GbSystemClock_Init(&agent.clock);
-    init_tasks(&agent, &settings);
-    if (start(&agent, &last) != GB_TRANSPORT_OK) {
+    if (start(&agent, &settings, &last) != GB_TRANSPORT_OK) {
         GbLog_Event(GB_LOG_ERROR, "start_failed", "reason=\"%s\"", last.text);
         return GB_EXIT_FAILED;
     }
--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -71,11 +71,11 @@
 
 static enum GbTransportStatus
 open_data_tasks(struct Balancer *self, const struct Settings *settings,
-                struct GbLastMessage *last)
+                const struct GbAddress *listen, struct GbLastMessage *last)
 {
     struct GbBalancerTaskConfig config = {0};
 
-    config.listen = settings->listen;
+    config.listen = *listen;
     config.keys = &self->keys;
     config.control = &self->control.super;
     for (uint32_t i = 0; i < settings->tasks; i++) {
@@ -88,9 +88,6 @@
             return status;
         }
         GbControlTask_AddDataTask(&self->control, &self->data[i].super);
-        /* The first task may have been given a free port: the others share
-         * it. */
-        config.listen = GbUdp_Address(&self->data[0].udp);
     }
     return GB_TRANSPORT_OK;
 }
@@ -100,6 +97,7 @@
       struct GbLastMessage *last)
 {
     struct GbControlTaskConfig config = {.role = GB_ROLE_BALANCER};
+    struct GbAddress listen = settings->listen;
     enum GbTransportStatus status;
 
     g_strlcpy(config.instance_name, settings->instance, GB_NAME_BYTES);
@@ -110,7 +108,11 @@
     GbControlTask_Init(&self->control, &config, &self->clock.super);
     status = GbTask_Open(&self->control.super, last);
     if (status == GB_TRANSPORT_OK) {
-        status = open_data_tasks(self, settings, last);
+        status =
+            GbControlTask_Listen(&self->control, &listen, &self->keys, last);
+    }
+    if (status == GB_TRANSPORT_OK) {
+        status = open_data_tasks(self, settings, &listen, last);
     }
     for (uint32_t i = 0;
          status == GB_TRANSPORT_OK && i < self->control.data_task_count; i++) {
--- a/src/state/view.c
+++ b/src/state/view.c
@@ -2,27 +2,43 @@
 
 #include <glib.h>
 #include <stdlib.h>
-#include <string.h>
 
+static const struct GbInstance **
+candidate_slot(struct GbCandidates *candidates)
+{
+    return &candidates->instances[candidates->count++];
+}
+
+/* Gives every live agent to its service in two passes over the list: one to
+ * count, one to fill. A search of the list for each service would cost 980
+ * services times 9,230 instances at every change. */
 static void
-collect_candidates(struct GbCandidates *candidates,
-                   const struct GbService *service,
-                   const struct GbInstanceList *list)
+collect_candidates(struct GbView *self, GHashTable *by_name)
 {
-    GPtrArray *found = g_ptr_array_new();
+    const struct GbInstanceList *list = self->list;
+    struct GbCandidates **found = g_new0(struct GbCandidates *, list->count);
 
     for (uint32_t i = 0; i < list->count; i++) {
         const struct GbInstance *instance = &list->instances[i];
 
-        if (instance->role == GB_ROLE_AGENT && !instance->is_leaving &&
-            strcmp(instance->service, service->name) == 0) {
-            g_ptr_array_add(found, (gpointer)instance);
+        if (instance->role == GB_ROLE_AGENT && !instance->is_leaving) {
+            found[i] = g_hash_table_lookup(by_name, instance->service);
+        }
+        if (found[i] != NULL) {
+            found[i]->count++;
+        }
+    }
+    for (uint32_t i = 0; i < self->candidates_count; i++) {
+        self->candidates[i].instances =
+            g_new(const struct GbInstance *, self->candidates[i].count);
+        self->candidates[i].count = 0;
+    }
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (found[i] != NULL) {
+            *candidate_slot(found[i]) = &list->instances[i];
         }
     }
-    candidates->service_id = service->id;
-    candidates->count = found->len;
-    candidates->instances =
-        (const struct GbInstance **)g_ptr_array_free(found, FALSE);
+    g_free(found);
 }
 
 static int
@@ -38,6 +54,7 @@
 GbView_New(struct GbDocument *document, struct GbInstanceList *list)
 {
     struct GbView *self = g_new0(struct GbView, 1);
+    GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
 
     self->reference_count = 1;
     self->document = GbDocument_Ref(document);
@@ -45,8 +62,12 @@
     self->candidates_count = document->service_count;
     self->candidates = g_new0(struct GbCandidates, document->service_count);
     for (uint32_t i = 0; i < document->service_count; i++) {
-        collect_candidates(&self->candidates[i], &document->services[i], list);
+        self->candidates[i].service_id = document->services[i].id;
+        g_hash_table_insert(by_name, document->services[i].name,
+                            &self->candidates[i]);
     }
+    collect_candidates(self, by_name);
+    g_hash_table_destroy(by_name);
     qsort(self->candidates, self->candidates_count, sizeof(*self->candidates),
           compare_service_id);
     return self;
--- a/src/transport/agent_task.c
+++ b/src/transport/agent_task.c
@@ -2,6 +2,7 @@
 
 #include <stddef.h>
 
+#include "protocol/revision_wire.h"
 #include "transport/mails.h"
 
 #define MAILBOX_LIMIT 4096
@@ -95,6 +96,12 @@
         GbAgent_SetView(&self->agent,
                         GbView_Ref(((struct GbViewMail *)mail)->view));
     }
+    else if (mail->klass == &GbAnnounceMail_Class) {
+        const struct GbAnnounceMail *announce = (struct GbAnnounceMail *)mail;
+
+        GbRevisionWire_Send(&self->udp.super, &announce->to,
+                            &announce->revision);
+    }
     else if (mail->klass == &GbAnsweredMail_Class) {
         const struct GbAnsweredMail *answered = (struct GbAnsweredMail *)mail;
 
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -2,6 +2,7 @@
 
 #include <stddef.h>
 
+#include "protocol/revision_wire.h"
 #include "transport/mails.h"
 
 #define MAILBOX_LIMIT 256
@@ -58,6 +59,12 @@
         GbBalancer_SetView(&self->balancer,
                            GbView_Ref(((struct GbViewMail *)mail)->view));
     }
+    else if (mail->klass == &GbAnnounceMail_Class) {
+        const struct GbAnnounceMail *announce = (struct GbAnnounceMail *)mail;
+
+        GbRevisionWire_Send(&self->udp.super, &announce->to,
+                            &announce->revision);
+    }
 }
 
 static int64_t
--- /dev/null
+++ b/src/transport/control_http.c
@@ -0,0 +1,140 @@
+#include "transport/control_http.h"
+
+#include <string.h>
+
+#include "protocol/exposition.h"
+#include "protocol/status_json.h"
+
+#define US_PER_SECOND INT64_C(1000000)
+
+struct Endpoint {
+    const char *path;
+    int (*answer)(struct GbControlTask *control, GString *body);
+};
+
+static void
+write_gauges(const struct GbControlTask *control, GString *body)
+{
+    const struct GbAcceptance *acceptance = &control->sync.acceptance;
+    const struct GbDocument *in_force = acceptance->in_force.document;
+    const struct GbInstanceList *list = control->sync.sync.list;
+
+    GbExposition_Gauge(body, "document_revision",
+                       "Revision of the document in force.",
+                       in_force != NULL ? (int64_t)in_force->revision : 0);
+    GbExposition_Gauge(body, "document_in_force_seconds",
+                       "Wall time at which the document came into force.",
+                       acceptance->in_force.in_force_at_us / US_PER_SECOND);
+    GbExposition_Gauge(body, "documents_pending",
+                       "Accepted documents that wait for their time.",
+                       acceptance->pending_count);
+    GbExposition_Gauge(body, "instances_version",
+                       "Version of the instance list.",
+                       list != NULL ? (int64_t)list->version : 0);
+    GbExposition_Gauge(body, "ready", "Whether the process is ready.",
+                       GbControlTask_IsReady(control));
+}
+
+static void
+write_agent_gauges(const struct GbCountersMail *report, GString *body)
+{
+    GbExposition_Gauge(body, "flows", "Flows held.", report->flow_count);
+    GbExposition_Gauge(body, "requests", "Request records held.",
+                       report->request_count);
+    GbExposition_Gauge(body, "running", "Requests at the target.",
+                       report->load.running);
+    GbExposition_Gauge(body, "queued", "Requests in the queue.",
+                       report->load.queued);
+    GbExposition_Gauge(body, "usable_slots", "Slots in use or free.",
+                       report->load.capacity);
+}
+
+static int
+answer_metrics(struct GbControlTask *control, GString *body)
+{
+    struct GbCounters sum = control->counters;
+
+    for (uint32_t i = 0; i < control->data_task_count; i++) {
+        GbCounters_Merge(&sum, &control->reports[i].counters);
+    }
+    GbExposition_Counters(body, &sum);
+    write_gauges(control, body);
+    if (control->config.role == GB_ROLE_AGENT) {
+        write_agent_gauges(&control->reports[0], body);
+    }
+    return HTTP_OK;
+}
+
+static int
+answer_status(struct GbControlTask *control, GString *body)
+{
+    const struct GbAcceptance *acceptance = &control->sync.acceptance;
+    const struct GbDocument *in_force = acceptance->in_force.document;
+    const struct GbInstanceList *list = control->sync.sync.list;
+    struct GbProcessStatus status = {.role = control->config.role};
+
+    g_strlcpy(status.instance, control->config.instance_name, GB_NAME_BYTES);
+    status.head = GbDocument_Head(in_force);
+    if (in_force != NULL) {
+        g_strlcpy(status.requested_by, in_force->requested_by, GB_NAME_BYTES);
+    }
+    status.accepted_at_us = acceptance->in_force.accepted_at_us;
+    status.in_force_at_us = acceptance->in_force.in_force_at_us;
+    status.instances_version = list != NULL ? list->version : 0;
+    status.is_ready = GbControlTask_IsReady(control);
+    for (uint32_t i = 0; i < acceptance->pending_count; i++) {
+        const struct GbDocument *pending = acceptance->pending[i].document;
+
+        status.pending[i].head = GbDocument_Head(pending);
+        status.pending[i].in_force_from_us = pending->in_force_from_us;
+    }
+    status.pending_count = acceptance->pending_count;
+    GbStatusJson_Write(body, &status);
+    return HTTP_OK;
+}
+
+static int
+answer_audit(struct GbControlTask *control, GString *body)
+{
+    const struct GbAudit *audit = &control->sync.audit;
+
+    for (uint32_t i = 0; i < GbAudit_Count(audit); i++) {
+        GbStatusJson_WriteAudit(body, GbAudit_At(audit, i));
+    }
+    return HTTP_OK;
+}
+
+static int
+answer_health(struct GbControlTask *control, GString *body)
+{
+    (void)control;
+    g_string_append(body, "ok\n");
+    return HTTP_OK;
+}
+
+static int
+answer_ready(struct GbControlTask *control, GString *body)
+{
+    bool is_ready = GbControlTask_IsReady(control);
+
+    g_string_append(body, is_ready ? "ready\n" : "not ready\n");
+    return is_ready ? HTTP_OK : HTTP_SERVUNAVAIL;
+}
+
+static const struct Endpoint endpoints[] = {
+    {"/metrics", answer_metrics}, {"/status", answer_status},
+    {"/audit", answer_audit},     {"/healthz", answer_health},
+    {"/readyz", answer_ready},
+};
+
+int
+GbControlHttp_Answer(struct GbControlTask *control, const char *path,
+                     GString *body)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(endpoints); i++) {
+        if (strcmp(path, endpoints[i].path) == 0) {
+            return endpoints[i].answer(control, body);
+        }
+    }
+    return HTTP_NOTFOUND;
+}
--- /dev/null
+++ b/src/transport/control_sync.h
@@ -0,0 +1,79 @@
+#ifndef GB_TRANSPORT_CONTROL_SYNC_H
+#define GB_TRANSPORT_CONTROL_SYNC_H
+
+#include "coordination/document_sync.h"
+#include "transport/peer_client.h"
+#include "transport/peer_server.h"
+#include "transport/platform_client.h"
+
+struct GbControlSyncEvents;
+
+/* What the control task does with the results. */
+struct GbControlSyncEventsClass {
+    /* The process shall act on this document and this list. */
+    void (*publish)(struct GbControlSyncEvents *self,
+                    struct GbDocument *document, struct GbInstanceList *list);
+    /* A REVISION datagram is to be sent. */
+    void (*announce)(struct GbControlSyncEvents *self,
+                     const struct GbAddress *to,
+                     const struct GbRevision *revision);
+};
+
+struct GbControlSyncEvents {
+    const struct GbControlSyncEventsClass *klass;
+};
+
+struct GbControlSync;
+
+/* Call to the platform that GbDocumentSync waits for. */
+struct GbControlSyncCall {
+    struct GbPlatformReply super;
+    struct GbControlSync *sync;
+    uint32_t call_id;
+};
+
+/* Connects the decisions of GbDocumentSync with the platform and with the TCP
+ * sockets of other processes. */
+struct GbControlSync {
+    struct GbDocumentSyncPort port;
+    struct GbAcceptancePort acceptance_port;
+    struct GbPeerHandler peer_handler;
+    struct GbPeerReply peer_reply;
+    struct GbControlSyncCall head_call;
+    struct GbControlSyncCall document_call;
+    struct GbControlSyncCall instances_call;
+    struct GbDocumentHead document_head;
+    uint32_t pull_id;
+
+    struct GbControlSyncEvents *events;
+    struct GbCounters *counters;
+    struct GbSystemRandom random;
+    struct GbAudit audit;
+    struct GbAcceptance acceptance;
+    struct GbDocumentSync sync;
+    struct GbPlatformClient platform;
+    struct GbPeerClient client;
+    struct GbPeerServer server;
+};
+
+/* All pointers must outlive self. */
+void GbControlSync_Init(struct GbControlSync *self, const char *instance_name,
+                        struct GbControlSyncEvents *events,
+                        struct GbClock *clock, struct GbCounters *counters);
+
+/* Opens the clients. Nothing is called yet. */
+void GbControlSync_Open(struct GbControlSync *self, struct event_base *base,
+                        const struct GbAddress *platform);
+
+/* Opens the TCP socket for other processes. To be called after
+ * GbControlSync_Open; without it, others are neither answered nor asked.
+ *
+ * Errors: GB_TRANSPORT_SYSTEM. */
+enum GbTransportStatus GbControlSync_Listen(struct GbControlSync *self,
+                                            const struct GbAddress *address,
+                                            const struct GbKeys *keys,
+                                            struct GbLastMessage *last);
+
+void GbControlSync_Close(struct GbControlSync *self);
+
+#endif
--- a/src/transport/control_task.h
+++ b/src/transport/control_task.h
@@ -2,9 +2,9 @@
 #define GB_TRANSPORT_CONTROL_TASK_H
 
 #include "state/view.h"
+#include "transport/control_sync.h"
 #include "transport/http_server.h"
 #include "transport/mails.h"
-#include "transport/platform_client.h"
 #include "transport/task.h"
 
 #define GB_DATA_TASKS_MAX 16
@@ -20,29 +20,23 @@
     GAsyncQueue *done;
 };
 
-/* Task that owns what a process knows of its environment: the document, the
+/* Task that owns what a process knows of its environment: documents, the
  * instance list and the state of the other tasks. */
 struct GbControlTask {
     struct GbTask super;
     struct GbHttpHandler handler;
-    struct GbPlatformReply head_reply;
-    struct GbPlatformReply document_reply;
-    struct GbPlatformReply instances_reply;
+    struct GbControlSyncEvents events;
     struct GbControlTaskConfig config;
     struct GbTask *data_tasks[GB_DATA_TASKS_MAX];
     uint32_t data_task_count;
     struct GbCountersMail reports[GB_DATA_TASKS_MAX];
     struct GbCounters counters;
-    struct GbPlatformClient platform;
+    struct GbControlSync sync;
     struct GbHttpServer http;
-    struct GbDocument *document;
-    struct GbInstanceList *instances;
-    bool is_reading_document;
     bool is_stopping;
     bool is_done;
     uint64_t received_last;
     int64_t received_us;
-    int64_t poll_us;
 };
 
 /* Prepares the task for GbTask_Open. */
@@ -50,8 +44,22 @@
                         const struct GbControlTaskConfig *config,
                         struct GbClock *clock);
 
+/* Opens the TCP socket for the exchange of documents, on *address; port 0
+ * becomes the port that was bound. The UDP sockets of the process must be
+ * bound to the same port: other processes know one address of an instance.
+ * To be called between GbTask_Open and GbTask_Start. keys must outlive self.
+ *
+ * Errors: GB_TRANSPORT_SYSTEM. */
+enum GbTransportStatus GbControlTask_Listen(struct GbControlTask *self,
+                                            struct GbAddress *address,
+                                            const struct GbKeys *keys,
+                                            struct GbLastMessage *last);
+
 /* Adds a data task, which must outlive self. To be called before start. */
 void GbControlTask_AddDataTask(struct GbControlTask *self,
                                struct GbTask *task);
 
+/* Whether the process should be given traffic. */
+bool GbControlTask_IsReady(const struct GbControlTask *self);
+
 #endif
--- a/src/transport/mails.c
+++ b/src/transport/mails.c
@@ -25,6 +25,7 @@
 const struct GbMailClass GbViewMail_Class = {free_view};
 const struct GbMailClass GbCountersMail_Class = {free_plain};
 const struct GbMailClass GbRevisionMail_Class = {free_plain};
+const struct GbMailClass GbAnnounceMail_Class = {free_plain};
 const struct GbMailClass GbDrainMail_Class = {free_plain};
 const struct GbMailClass GbStartMail_Class = {free_plain};
 const struct GbMailClass GbCancelMail_Class = {free_plain};
@@ -66,6 +67,18 @@
     return &mail->super;
 }
 
+struct GbMail *
+GbAnnounceMail_New(const struct GbAddress *to,
+                   const struct GbRevision *revision)
+{
+    struct GbAnnounceMail *mail = g_new0(struct GbAnnounceMail, 1);
+
+    mail->super.klass = &GbAnnounceMail_Class;
+    mail->to = *to;
+    mail->revision = *revision;
+    return &mail->super;
+}
+
 struct GbMail *
 GbDrainMail_New(void)
 {
--- a/src/transport/mails.h
+++ b/src/transport/mails.h
@@ -33,6 +33,13 @@
     struct GbRevision revision;
 };
 
+/* From control to a data task: tell another process of a revision. */
+struct GbAnnounceMail {
+    struct GbMail super;
+    struct GbAddress to;
+    struct GbRevision revision;
+};
+
 /* From control to an agent's data task: the instance is leaving. */
 struct GbDrainMail {
     struct GbMail super;
@@ -80,6 +87,7 @@
 extern const struct GbMailClass GbViewMail_Class;
 extern const struct GbMailClass GbCountersMail_Class;
 extern const struct GbMailClass GbRevisionMail_Class;
+extern const struct GbMailClass GbAnnounceMail_Class;
 extern const struct GbMailClass GbDrainMail_Class;
 extern const struct GbMailClass GbStartMail_Class;
 extern const struct GbMailClass GbCancelMail_Class;
@@ -94,6 +102,8 @@
                                           const struct GbCounters *counters);
 struct GbMail *GbRevisionMail_New(const struct GbAddress *from,
                                   const struct GbRevision *revision);
+struct GbMail *GbAnnounceMail_New(const struct GbAddress *to,
+                                  const struct GbRevision *revision);
 struct GbMail *GbDrainMail_New(void);
 struct GbMail *GbStartMail_New(const struct GbTargetCall *call);
 struct GbMail *GbCancelMail_New(uint64_t work_id);
--- a/src/transport/platform_client.c
+++ b/src/transport/platform_client.c
@@ -76,7 +76,8 @@
 
 void
 GbPlatformClient_Get(struct GbPlatformClient *self, const char *path,
-                     uint32_t timeout_ms, struct GbPlatformReply *reply)
+                     uint32_t timeout_ms, size_t max_bytes,
+                     struct GbPlatformReply *reply)
 {
     struct Call *call = g_new0(struct Call, 1);
     struct evhttp_request *request = evhttp_request_new(call_done, call);
@@ -93,7 +94,7 @@
     evhttp_connection_set_retries(call->connection, 0);
     evhttp_connection_set_timeout_tv(call->connection, &timeout);
     evhttp_connection_set_max_body_size(call->connection,
-                                        GB_PLATFORM_BODY_BYTES_MAX);
+                                        (ev_ssize_t)max_bytes);
     g_hash_table_add(self->calls, call);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                       "platform");
@@ -101,3 +102,18 @@
                       "close");
     evhttp_make_request(call->connection, request, EVHTTP_REQ_GET, path);
 }
+
+void
+GbPlatformClient_Stop(struct GbPlatformClient *self,
+                      struct GbPlatformReply *reply)
+{
+    GHashTableIter calls;
+    gpointer call;
+
+    g_hash_table_iter_init(&calls, self->calls);
+    while (g_hash_table_iter_next(&calls, &call, NULL)) {
+        if (((struct Call *)call)->reply == reply) {
+            g_hash_table_iter_remove(&calls);
+        }
+    }
+}
--- a/src/transport/platform_client.h
+++ b/src/transport/platform_client.h
@@ -37,8 +37,15 @@
 /* Closes all connections; no reply follows. */
 void GbPlatformClient_Finish(struct GbPlatformClient *self);
 
-/* Reads a path. reply is told once, at the latest after timeout_ms. */
+/* Reads a path. reply is told once, at the latest when nothing has arrived
+ * for timeout_ms. A body of more than max_bytes is a failure. */
 void GbPlatformClient_Get(struct GbPlatformClient *self, const char *path,
-                          uint32_t timeout_ms, struct GbPlatformReply *reply);
+                          uint32_t timeout_ms, size_t max_bytes,
+                          struct GbPlatformReply *reply);
+
+/* Ends the calls of this reply that are in progress; it is not told of
+ * them. */
+void GbPlatformClient_Stop(struct GbPlatformClient *self,
+                           struct GbPlatformReply *reply);
 
 #endif
