--- a/tests/standins/platform_standin.c
+++ b/tests/standins/platform_standin.c
@@ -6,6 +6,7 @@
 #include <glib/gstdio.h>
 #include <inttypes.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -13,6 +14,7 @@
 
 #include "protocol/digest_text.h"
 #include "protocol/document_json.h"
+#include "protocol/instances_json.h"
 #include "protocol/status_json.h"
 #include "transport/platform_client.h"
 #include "transport/process.h"
@@ -150,9 +152,8 @@
     struct Content *content = &self->instances;
 
     if (load(content, self->instances_path, NULL) &&
-        GbDocumentJson_ParseInstances(&list, (const uint8_t *)content->data,
-                                      content->size_bytes,
-                                      NULL) == GB_PROTOCOL_OK) {
+        GbInstancesJson_Parse(&list, (const uint8_t *)content->data,
+                              content->size_bytes, NULL) == GB_PROTOCOL_OK) {
         content->version = list->version;
         GbInstanceList_Unref(list);
     }
@@ -475,6 +476,7 @@
         return GB_EXIT_USAGE;
     }
     g_queue_init(&platform.waiting);
+    signal(SIGPIPE, SIG_IGN);
     socket = bind_http(&platform, http);
     if (socket == NULL) {
         fprintf(stderr, "%s: no HTTP server\n", PROGRAM);
