--- a/src/protocol/document_json.h
+++ b/src/protocol/document_json.h
@@ -7,8 +7,6 @@
 
 #include "protocol/status.h"
 #include "state/document.h"
-#include "state/instance_list.h"
-#include "state/last_message.h"
 
 /* BLAKE2b-128 of the bytes of a document. */
 void GbDocumentJson_Digest(const uint8_t *data, size_t size_bytes,
@@ -23,13 +21,9 @@
                                            const uint8_t *data,
                                            size_t size_bytes, GString *errors);
 
-/* Parses an instance list of the platform. Entries that are not valid are
- * left out.
- *
- * Errors: GB_PROTOCOL_INVALID_DOCUMENT if the whole is not a list. */
-enum GbProtocolStatus
-GbDocumentJson_ParseInstances(struct GbInstanceList **list,
-                              const uint8_t *data, size_t size_bytes,
-                              struct GbLastMessage *last);
+/* Appends a line for each thing in a valid document that is allowed and
+ * probably not meant. Returns the number of lines. */
+uint32_t GbDocumentJson_Warn(const struct GbDocument *document,
+                             int64_t wall_us, GString *warnings);
 
 #endif
--- a/src/transport/control_sync.c
+++ b/src/transport/control_sync.c
@@ -6,6 +6,7 @@
 
 #include "protocol/digest_text.h"
 #include "protocol/document_json.h"
+#include "protocol/instances_json.h"
 #include "protocol/status_json.h"
 #include "protocol/time_text.h"
 #include "transport/log.h"
@@ -219,7 +220,7 @@
     struct GbInstanceList *list = NULL;
 
     if (status == HTTP_OK) {
-        GbDocumentJson_ParseInstances(&list, data, size_bytes, NULL);
+        GbInstancesJson_Parse(&list, data, size_bytes, NULL);
     }
     GbDocumentSync_InstancesRead(&call->sync->sync, call->call_id, list);
     GbInstanceList_Unref(list);
