Add the commands check, diff, promote, status and audit

Operators had no command to look at documents or at what the fleet acts on. check reports all errors of a document with their places, diff what changed by service, operation and field, status and audit a row for each process or record. promote compares the digest of a file with what is in force on every process of trial and its parent with what is in force in production, and writes nothing.

Measured by hand with the example documents.

--- a/src/programs/guavabend_main.c
+++ b/src/programs/guavabend_main.c
@@ -9,8 +9,16 @@
 #define PROGRAM "guavabend"
 
 static const struct GbCommand commands[] = {
+    {"audit", "Show the changes that balancers and agents have recorded.",
+     GbCommand_Audit},
     {"call", "Call an operation of a service through balancers.",
      GbCommand_Call},
+    {"check", "Check a document and report all errors.", GbCommand_Check},
+    {"diff", "Show what differs between two documents.", GbCommand_Diff},
+    {"promote", "Check that a document proven in trial may go to production.",
+     GbCommand_Promote},
+    {"status", "Show which document balancers and agents act on.",
+     GbCommand_Status},
 };
 
 static void
