--- a/src/coordination/document_sync.c
+++ b/src/coordination/document_sync.c
@@ -52,14 +52,12 @@
 {
     int64_t now = now_us(self);
 
-    if (is_first) {
-        GbSyncCall_Plan(call, now);
-    }
-    else if (is_changed) {
+    if (!is_first && is_changed) {
         GbSyncCall_Plan(call,
                         now + GbRandom_Below(self->random, REWATCH_SPREAD_US));
     }
-    else if (now - call->started_us < WATCH_WAIT_MS * US_PER_MS / 2) {
+    else if (!is_first &&
+             now - call->started_us < WATCH_WAIT_MS * US_PER_MS / 2) {
         /* A platform that does not wait would be asked without pause. */
         GbSyncCall_BackOff(call, now, self->random);
     }
--- a/tests/standins/platform_standin.c
+++ b/tests/standins/platform_standin.c
@@ -381,11 +381,8 @@
     else if (strcmp(path, "/v1/instances") == 0) {
         wait_or_reply(self, request, query, true);
     }
-    else if (is_held) {
-        /* Never answered: the client gives up. */
-        return;
-    }
-    else if (reply_by_mode(self, request)) {
+    else if (is_held || reply_by_mode(self, request)) {
+        /* A call that is held is never answered: the client gives up. */
         return;
     }
     else if (strcmp(path, "/v1/head") == 0) {
--- a/tests/support/sample_document.c
+++ b/tests/support/sample_document.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 struct GbDocument *
-SampleDocument_New(uint64_t revision, uint8_t digest, uint8_t parent,
-                   int64_t in_force_from_us)
+GbSampleDocument_New(uint64_t revision, uint8_t digest, uint8_t parent,
+                     int64_t in_force_from_us)
 {
     struct GbDocument *document = GbDocument_New();
 
--- a/tests/support/sync_bench.c
+++ b/tests/support/sync_bench.c
@@ -187,7 +187,7 @@
     list->instances[0].id = GbInstance_IdOfName(SYNC_OWN_NAME);
     for (uint32_t i = 0; i < self->list_peers; i++) {
         list->instances[i + 1].id = i + 1;
-        list->instances[i + 1].address = SyncBench_PeerAddress(i);
+        list->instances[i + 1].address = GbSyncBench_PeerAddress(i);
     }
     return list;
 }
@@ -288,7 +288,7 @@
 }
 
 void
-SyncBench_Open(struct SyncBench *self, uint32_t peers)
+GbSyncBench_Open(struct SyncBench *self, uint32_t peers)
 {
     memset(self, 0, sizeof(*self));
     self->port.klass = &port_class;
@@ -308,7 +308,7 @@
 }
 
 void
-SyncBench_Close(struct SyncBench *self)
+GbSyncBench_Close(struct SyncBench *self)
 {
     GbDocumentSync_Finish(&self->sync);
     GbAcceptance_Finish(&self->acceptance);
@@ -319,18 +319,18 @@
 }
 
 void
-SyncBench_Publish(struct SyncBench *self, uint64_t revision,
-                  int64_t in_force_s)
+GbSyncBench_Publish(struct SyncBench *self, uint64_t revision,
+                    int64_t in_force_s)
 {
     GbDocument_Unref(self->platform_document);
-    self->platform_document = SampleDocument_New(
+    self->platform_document = GbSampleDocument_New(
         revision, (uint8_t)revision, (uint8_t)(revision - 1),
         SYNC_WALL_START_US + in_force_s * US_PER_SECOND);
     wake_watches(self, CALL_HEAD);
 }
 
 void
-SyncBench_List(struct SyncBench *self, uint64_t version, uint32_t peers)
+GbSyncBench_List(struct SyncBench *self, uint64_t version, uint32_t peers)
 {
     self->list_version = version;
     self->list_peers = peers;
@@ -338,19 +338,19 @@
 }
 
 void
-SyncBench_Hold(struct SyncBench *self, uint32_t peer, uint64_t revision)
+GbSyncBench_Hold(struct SyncBench *self, uint32_t peer, uint64_t revision)
 {
     GbDocument_Unref(self->peer_documents[peer]);
     self->peer_documents[peer] =
-        SampleDocument_New(revision, (uint8_t)revision,
-                           (uint8_t)(revision - 1), SYNC_WALL_START_US);
+        GbSampleDocument_New(revision, (uint8_t)revision,
+                             (uint8_t)(revision - 1), SYNC_WALL_START_US);
 }
 
 void
-SyncBench_Announce(struct SyncBench *self, uint32_t peer, uint64_t revision)
+GbSyncBench_Announce(struct SyncBench *self, uint32_t peer, uint64_t revision)
 {
-    struct GbAddress from = SyncBench_PeerAddress(peer);
-    struct GbDocument *document = SampleDocument_New(
+    struct GbAddress from = GbSyncBench_PeerAddress(peer);
+    struct GbDocument *document = GbSampleDocument_New(
         revision, (uint8_t)revision, (uint8_t)(revision - 1), 0);
     struct GbRevision announced = GbDocument_Revision(document);
 
@@ -359,7 +359,7 @@
 }
 
 struct GbAddress
-SyncBench_PeerAddress(uint32_t peer)
+GbSyncBench_PeerAddress(uint32_t peer)
 {
     struct GbAddress address = {PEER_IPV4, (uint16_t)(PEER_PORT + peer)};
 
@@ -367,7 +367,7 @@
 }
 
 void
-SyncBench_RunUntil(struct SyncBench *self, int64_t time_us)
+GbSyncBench_RunUntil(struct SyncBench *self, int64_t time_us)
 {
     while (now_us(self) < time_us) {
         struct SyncReply *reply = next_reply(self);
--- a/tests/support/sync_bench.h
+++ b/tests/support/sync_bench.h
@@ -69,29 +69,31 @@
     uint64_t published_revision;
 };
 
-void SyncBench_Open(struct SyncBench *self, uint32_t peers);
-void SyncBench_Close(struct SyncBench *self);
+void GbSyncBench_Open(struct SyncBench *self, uint32_t peers);
+void GbSyncBench_Close(struct SyncBench *self);
 
 /* The platform offers a document, in force in_force_s after the start of the
  * test. */
-void SyncBench_Publish(struct SyncBench *self, uint64_t revision,
-                       int64_t in_force_s);
+void GbSyncBench_Publish(struct SyncBench *self, uint64_t revision,
+                         int64_t in_force_s);
 
 #define SYNC_LIST_EMPTY UINT32_MAX
 
 /* The platform offers a list of the process itself and so many peers, or an
  * empty one. */
-void SyncBench_List(struct SyncBench *self, uint64_t version, uint32_t peers);
+void GbSyncBench_List(struct SyncBench *self, uint64_t version,
+                      uint32_t peers);
 
 /* A peer holds this revision. */
-void SyncBench_Hold(struct SyncBench *self, uint32_t peer, uint64_t revision);
+void GbSyncBench_Hold(struct SyncBench *self, uint32_t peer,
+                      uint64_t revision);
 
 /* A peer announces this revision. */
-void SyncBench_Announce(struct SyncBench *self, uint32_t peer,
-                        uint64_t revision);
+void GbSyncBench_Announce(struct SyncBench *self, uint32_t peer,
+                          uint64_t revision);
 
-struct GbAddress SyncBench_PeerAddress(uint32_t peer);
+struct GbAddress GbSyncBench_PeerAddress(uint32_t peer);
 
-void SyncBench_RunUntil(struct SyncBench *self, int64_t time_us);
+void GbSyncBench_RunUntil(struct SyncBench *self, int64_t time_us);
 
 #endif
--- a/tests/test_acceptance.c
+++ b/tests/test_acceptance.c
@@ -148,8 +148,8 @@
     switch (step->kind) {
     case STEP_OFFER:
         document =
-            SampleDocument_New(step->revision, step->digest, step->parent,
-                               WALL_START_US + step->time_s * US_PER_SECOND);
+            GbSampleDocument_New(step->revision, step->digest, step->parent,
+                                 WALL_START_US + step->time_s * US_PER_SECOND);
         status = GbAcceptance_Offer(&bench->acceptance, document,
                                     GB_SOURCE_PLATFORM);
         GbDocument_Unref(document);
@@ -216,7 +216,7 @@
 {
     struct Bench bench;
     struct GbDocument *document =
-        SampleDocument_New(7, 8, 0, WALL_START_US + 10 * US_PER_SECOND);
+        GbSampleDocument_New(7, 8, 0, WALL_START_US + 10 * US_PER_SECOND);
     const struct GbAuditRecord *record;
 
     open_bench(&bench);
@@ -268,7 +268,7 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(want_cases); i++) {
         const struct WantCase *row = &want_cases[i];
-        struct GbDocument *document = SampleDocument_New(2, 5, 0, 0);
+        struct GbDocument *document = GbSampleDocument_New(2, 5, 0, 0);
         struct Bench bench;
         uint64_t before;
 
--- /dev/null
+++ b/tests/test_commands.c
@@ -0,0 +1,336 @@
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "protocol/document_json.h"
+#include "protocol/status_json.h"
+#include "transport/http_server.h"
+
+#define ARGUMENTS_MAX 8
+#define TEXT_BYTES 512
+#define POLL_US 2000
+#define LIMIT_US INT64_C(10000000)
+#define EXAMPLES GB_TEST_DATA "/../examples/"
+#define GUAVABEND GB_BUILD_DIR "/guavabend"
+
+/* Process that answers /status and /audit with fixed documents. */
+struct FakeProcess {
+    struct GbHttpHandler handler;
+    struct GbHttpServer server;
+    struct GbProcessStatus status;
+    bool is_broken;
+    char address[GB_ADDRESS_TEXT_BYTES];
+};
+
+enum FakeName {
+    FAKE_CURRENT,
+    FAKE_BEHIND,
+    FAKE_BROKEN,
+    FAKE_PARENT,
+    FAKE_END
+};
+
+static struct FakeProcess fakes[FAKE_END];
+static struct event_base *base;
+static char child_path[TEXT_BYTES];
+
+static int
+handle(struct GbHttpHandler *handler, const char *path, GString *body)
+{
+    struct FakeProcess *self = (struct FakeProcess *)handler;
+    struct GbAuditRecord record = {.event = GB_AUDIT_IN_FORCE};
+
+    if (self->is_broken) {
+        g_string_append(body, "no status\n");
+        return HTTP_OK;
+    }
+    if (strcmp(path, "/audit") == 0) {
+        record.head = self->status.head;
+        GbStatusJson_WriteAudit(body, &record);
+        return HTTP_OK;
+    }
+    GbStatusJson_Write(body, &self->status);
+    return HTTP_OK;
+}
+
+static void
+open_fake(enum FakeName name, uint64_t revision,
+          const uint8_t digest[GB_DIGEST_BYTES])
+{
+    static const struct GbAddress any = {INADDR_LOOPBACK, 0};
+    struct FakeProcess *self = &fakes[name];
+    struct GbAddress address = any;
+
+    self->handler.handle = handle;
+    g_snprintf(self->status.instance, GB_NAME_BYTES, "fake%d", name);
+    self->status.head.revision = revision;
+    memcpy(self->status.head.digest, digest, GB_DIGEST_BYTES);
+    self->status.is_ready = true;
+    g_assert_cmpint(
+        GbHttpServer_Open(&self->server, &any, base, &self->handler, NULL), ==,
+        GB_TRANSPORT_OK);
+    address.port = GbHttpServer_Port(&self->server);
+    GbAddress_Format(&address, self->address);
+}
+
+/* Writes a document that follows agency.json and opens the fakes: one that
+ * has it in force, one with another document, one that has its parent. */
+static void
+open_fakes(void)
+{
+    static const uint8_t other[GB_DIGEST_BYTES] = {1};
+    uint8_t digest[GB_DIGEST_BYTES];
+    uint8_t parent[GB_DIGEST_BYTES];
+    char hex[2 * GB_DIGEST_BYTES + 1];
+    gchar *text;
+    gchar **parts;
+    gchar *child;
+    gsize size_bytes;
+
+    g_assert_true(
+        g_file_get_contents(EXAMPLES "agency.json", &text, &size_bytes, NULL));
+    GbDocumentJson_Digest((const uint8_t *)text, size_bytes, parent);
+    sodium_bin2hex(hex, sizeof(hex), parent, GB_DIGEST_BYTES);
+    parts = g_strsplit(text, "00000000000000000000000000000000", 2);
+    g_free(text);
+    text = g_strjoinv(hex, parts);
+    g_strfreev(parts);
+    parts = g_strsplit(text, "\"revision\": 1", 2);
+    child = g_strjoinv("\"revision\": 2", parts);
+    g_strfreev(parts);
+    g_free(text);
+    GbDocumentJson_Digest((const uint8_t *)child, strlen(child), digest);
+    g_snprintf(child_path, sizeof(child_path), "%s/guavabend-child-%d.json",
+               g_get_tmp_dir(), (int)getpid());
+    g_assert_true(g_file_set_contents(child_path, child, -1, NULL));
+    g_free(child);
+    open_fake(FAKE_CURRENT, 2, digest);
+    open_fake(FAKE_BEHIND, 1, other);
+    open_fake(FAKE_BROKEN, 0, other);
+    fakes[FAKE_BROKEN].is_broken = true;
+    open_fake(FAKE_PARENT, 1, parent);
+}
+
+static void
+end_with_parent(gpointer context)
+{
+    (void)context;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static void
+stop_waiting(evutil_socket_t fd, short events, void *context)
+{
+    (void)fd;
+    (void)events;
+    (void)context;
+}
+
+/* Runs a command while the fakes answer. Its output goes to a file. */
+static int
+run(gchar **arguments, gchar **output)
+{
+    char path[TEXT_BYTES];
+    gchar *command_line;
+    gchar *shell[] = {"/bin/sh", "-c", NULL, NULL};
+    struct timeval pause = {0, POLL_US};
+    struct event *timer = event_new(base, -1, EV_PERSIST, stop_waiting, NULL);
+    GString *line = g_string_new("exec");
+    int64_t limit_us = g_get_monotonic_time() + LIMIT_US;
+    int status = -1;
+    pid_t ended = 0;
+    GPid pid;
+
+    g_snprintf(path, sizeof(path), "%s/guavabend-output-%d", g_get_tmp_dir(),
+               (int)getpid());
+    for (gchar **argument = arguments; *argument != NULL; argument++) {
+        gchar *quoted = g_shell_quote(*argument);
+
+        g_string_append_printf(line, " %s", quoted);
+        g_free(quoted);
+    }
+    g_string_append_printf(line, " >%s 2>&1", path);
+    command_line = g_string_free(line, FALSE);
+    shell[2] = command_line;
+    g_assert_true(g_spawn_async(NULL, shell, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+                                end_with_parent, NULL, &pid, NULL));
+    event_add(timer, &pause);
+    while (ended == 0 && g_get_monotonic_time() < limit_us) {
+        event_base_loop(base, EVLOOP_ONCE);
+        ended = waitpid(pid, &status, WNOHANG);
+    }
+    event_free(timer);
+    g_free(command_line);
+    g_assert_cmpint(ended, ==, pid);
+    g_assert_true(WIFEXITED(status));
+    g_assert_true(g_file_get_contents(path, output, NULL, NULL));
+    remove(path);
+    return WEXITSTATUS(status);
+}
+
+/* In the arguments "@N" stands for the address of a fake and "@child" for the
+ * document that follows agency.json. */
+struct CommandCase {
+    const char *name;
+    const char *arguments[ARGUMENTS_MAX];
+    int code;
+    const char *output;
+};
+
+static const struct CommandCase command_cases[] = {
+    {"agency.json is valid",
+     {"check", EXAMPLES "agency.json"},
+     0,
+     "valid revision=1"},
+    {"franchise.json is valid",
+     {"check", EXAMPLES "franchise.json"},
+     0,
+     "valid revision=1"},
+    {"no document", {"check", "/dev/null"}, 1, "document.json: line 1"},
+    {"no file", {"check", "/nonexistent"}, 1, "cannot read document"},
+    {"no argument", {"check"}, 2, "setting document is required"},
+    {"diff of one field",
+     {"diff", EXAMPLES "agency.json", "@child"},
+     0,
+     "document.revision: 1 -> 2"},
+    {"diff without changes",
+     {"diff", EXAMPLES "agency.json", "@child"},
+     0,
+     "changes=0"},
+    {"diff of other services",
+     {"diff", EXAMPLES "agency.json", EXAMPLES "franchise.json"},
+     0,
+     "pack: removed"},
+    {"status, all current",
+     {"status", "--processes", "@0"},
+     0,
+     "processes=1 current=1 newest_revision=2"},
+    {"status, one behind",
+     {"status", "--processes", "@0,@1"},
+     1,
+     "behind      fake1"},
+    {"status, one without status",
+     {"status", "--processes", "@0,@2"},
+     1,
+     "unreachable"},
+    {"status, nobody there",
+     {"status", "--processes", "@0,127.0.0.1:1"},
+     1,
+     "127.0.0.1:1"},
+    {"status without addresses", {"status"}, 2, "no address to ask"},
+    {"status with a wrong address",
+     {"status", "--processes", "here"},
+     2,
+     "\"here\" must be ipv4:port"},
+    {"audit",
+     {"audit", "--processes", "@0"},
+     0,
+     "\"event\":\"document_in_force\""},
+    {"audit, nobody there",
+     {"audit", "--processes", "127.0.0.1:1"},
+     1,
+     "unreachable"},
+    {"promote what is proven",
+     {"promote", "@child", "--trial", "@0", "--production", "@3"},
+     0,
+     "publish file="},
+    {"promote what is not in force on one trial process",
+     {"promote", "@child", "--trial", "@0,@1", "--production", "@3"},
+     1,
+     "refused: 1 of 2 processes in trial"},
+    {"promote with a trial process that does not answer",
+     {"promote", "@child", "--trial", "@0,@2", "--production", "@3"},
+     1,
+     "refused: 1 of 2 processes in trial"},
+    {"promote over another parent",
+     {"promote", "@child", "--trial", "@0", "--production", "@3,@1"},
+     1,
+     "refused: 1 of 2 processes in production"},
+    {"promote without trial",
+     {"promote", "@child", "--production", "@3"},
+     1,
+     "no address to ask"},
+    {"promote without production",
+     {"promote", "@child", "--trial", "@0"},
+     1,
+     "no address to ask"},
+    {"promote a wrong document",
+     {"promote", "/dev/null", "--trial", "@0", "--production", "@3"},
+     1,
+     "document.json"},
+};
+
+static gchar *
+expand(const char *argument)
+{
+    GString *text = g_string_new(NULL);
+
+    if (strcmp(argument, "@child") == 0) {
+        return g_string_free(g_string_assign(text, child_path), FALSE);
+    }
+    for (const char *c = argument; *c != '\0'; c++) {
+        if (*c == '@') {
+            g_string_append(text, fakes[*++c - '0'].address);
+        }
+        else {
+            g_string_append_c(text, *c);
+        }
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Guards against commands that let a wrong document pass, and against wrong
+ * exit codes in operators' scripts. */
+static void
+test_commands(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(command_cases); i++) {
+        const struct CommandCase *row = &command_cases[i];
+        gchar *arguments[ARGUMENTS_MAX + 2] = {g_strdup(GUAVABEND)};
+        gchar *output;
+        int code;
+
+        g_test_message("%s", row->name);
+        for (int a = 0; a < ARGUMENTS_MAX && row->arguments[a] != NULL; a++) {
+            arguments[a + 1] = expand(row->arguments[a]);
+        }
+        code = run(arguments, &output);
+        if (code != row->code || strstr(output, row->output) == NULL) {
+            g_test_message("%s", output);
+        }
+        g_assert_cmpint(code, ==, row->code);
+        g_assert_nonnull(strstr(output, row->output));
+        g_free(output);
+        for (gchar **argument = arguments; *argument != NULL; argument++) {
+            g_free(*argument);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    base = event_base_new();
+    open_fakes();
+    g_test_add_func("/commands/cases", test_commands);
+    code = g_test_run();
+    for (int i = 0; i < FAKE_END; i++) {
+        GbHttpServer_Close(&fakes[i].server);
+    }
+    event_base_free(base);
+    remove(child_path);
+    return code;
+}
--- a/tests/test_document_processes.c
+++ b/tests/test_document_processes.c
@@ -16,6 +16,8 @@
 #define BODY_BYTES 65536
 #define POLL_US 20000
 #define START_LIMIT_US INT64_C(10000000)
+#define PLATFORM GB_BUILD_DIR "/platform-standin"
+#define BALANCER GB_BUILD_DIR "/guavabend-balancer"
 #define KEY "000102030405060708090a0b0c0d0e0f"
 #define OTHER_KEY "ffffffffffffffffffffffffffffffff"
 
@@ -173,20 +175,10 @@
     uint32_t index = fleet->balancers++;
     char name[TEXT_BYTES];
     char platform[GB_ADDRESS_TEXT_BYTES];
-    gchar *arguments[] = {GB_BUILD_DIR "/guavabend-balancer",
-                          "--instance",
-                          name,
-                          "--data-centre",
-                          "dc",
-                          "--platform",
-                          platform,
-                          "--key",
-                          key,
-                          "--tasks",
-                          "1",
-                          "--quiet-ms",
-                          "0",
-                          NULL};
+    gchar *arguments[] = {BALANCER, "--instance", name,     "--data-centre",
+                          "dc",     "--platform", platform, "--key",
+                          key,      "--tasks",    "1",      "--quiet-ms",
+                          "0",      NULL};
     char line[TEXT_BYTES];
 
     g_snprintf(name, sizeof(name), "b%u", index);
--- a/tests/test_document_sync.c
+++ b/tests/test_document_sync.c
@@ -34,10 +34,10 @@
 
 struct SyncCase {
     const char *name;
-    uint32_t peers;
+    uint64_t peers;
     struct Event events[EVENTS_MAX];
     uint32_t run_s;
-    uint64_t in_force;
+    uint32_t in_force;
     /* Latest time of readiness in ms. */
     uint32_t ready_ms;
     uint32_t pulls_min;
@@ -336,10 +336,11 @@
         bench->platform_mode = (enum PlatformMode)event->value;
         break;
     case EVENT_PUBLISH:
-        SyncBench_Publish(bench, (uint64_t)event->value, event->extra);
+        GbSyncBench_Publish(bench, (uint64_t)event->value, event->extra);
         break;
     case EVENT_LIST:
-        SyncBench_List(bench, (uint64_t)event->value, (uint32_t)event->extra);
+        GbSyncBench_List(bench, (uint64_t)event->value,
+                         (uint32_t)event->extra);
         break;
     case EVENT_PEERS:
         for (int i = 0; i < SYNC_PEERS_MAX; i++) {
@@ -349,11 +350,12 @@
         }
         break;
     case EVENT_HOLD:
-        SyncBench_Hold(bench, (uint32_t)event->extra, (uint64_t)event->value);
+        GbSyncBench_Hold(bench, (uint32_t)event->extra,
+                         (uint64_t)event->value);
         break;
     case EVENT_ANNOUNCE:
-        SyncBench_Announce(bench, (uint32_t)event->extra,
-                           (uint64_t)event->value);
+        GbSyncBench_Announce(bench, (uint32_t)event->extra,
+                             (uint64_t)event->value);
         break;
     default:
         GbManualClock_StepWall(&bench->clock, event->value * US_PER_SECOND);
@@ -366,10 +368,10 @@
 {
     for (const struct Event *event = events;
          event < events + EVENTS_MAX && event->kind != EVENT_END; event++) {
-        SyncBench_RunUntil(bench, event->at_s * US_PER_SECOND);
+        GbSyncBench_RunUntil(bench, event->at_s * US_PER_SECOND);
         apply(bench, event);
     }
-    SyncBench_RunUntil(bench, run_s * US_PER_SECOND);
+    GbSyncBench_RunUntil(bench, run_s * US_PER_SECOND);
 }
 
 static void
@@ -413,10 +415,10 @@
         struct SyncBench bench;
 
         g_test_message("%s", row->name);
-        SyncBench_Open(&bench, row->peers);
+        GbSyncBench_Open(&bench, (uint32_t)row->peers);
         run_events(&bench, row->events, row->run_s);
         check(&bench, row);
-        SyncBench_Close(&bench);
+        GbSyncBench_Close(&bench);
     }
 }
 
@@ -450,15 +452,15 @@
         const struct CeilingCase *row = &ceiling_cases[i];
         struct SyncBench bench;
 
-        SyncBench_Open(&bench, 0);
-        SyncBench_Publish(&bench, 1, 0);
+        GbSyncBench_Open(&bench, 0);
+        GbSyncBench_Publish(&bench, 1, 0);
         bench.platform_mode = row->mode;
         for (uint32_t at_s = 1; at_s <= HOUR_S; at_s++) {
             uint32_t before = bench.platform_calls;
 
-            SyncBench_RunUntil(&bench, at_s * US_PER_SECOND);
+            GbSyncBench_RunUntil(&bench, at_s * US_PER_SECOND);
             if (row->publish_s > 0) {
-                SyncBench_Publish(&bench, 1 + at_s, 0);
+                GbSyncBench_Publish(&bench, 1 + at_s, 0);
             }
             g_assert_cmpuint(bench.platform_calls - before, <=, BURST);
             g_assert_cmpuint(bench.platform_calls, <=, BURST + at_s / 5);
@@ -467,7 +469,7 @@
                        bench.platform_calls);
         g_assert_cmpuint(bench.counters.values[GB_COUNTER_PLATFORM_CALLS], ==,
                          bench.platform_calls);
-        SyncBench_Close(&bench);
+        GbSyncBench_Close(&bench);
     }
 }
 
@@ -494,12 +496,12 @@
         struct SyncBench bench;
 
         g_test_message("%s", row->name);
-        SyncBench_Open(&bench, row->peers);
-        SyncBench_Publish(&bench, 1, 0);
-        SyncBench_RunUntil(&bench, row->run_s * US_PER_SECOND);
+        GbSyncBench_Open(&bench, row->peers);
+        GbSyncBench_Publish(&bench, 1, 0);
+        GbSyncBench_RunUntil(&bench, row->run_s * US_PER_SECOND);
         g_assert_cmpuint(bench.announced, >=, row->min);
         g_assert_cmpuint(bench.announced, <=, row->max);
-        SyncBench_Close(&bench);
+        GbSyncBench_Close(&bench);
     }
 }
 
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -88,33 +88,33 @@
     uint8_t flip;
     /* Change of the size given to the decoder. */
     int32_t size_delta;
-    const struct GbKeys *reader;
     enum GbProtocolStatus status;
+    const struct GbKeys *reader;
 };
 
 static const struct FaultCase fault_cases[] = {
-    {"key of another fleet", GB_FRAME_PULL, 0, 0, 0, 0, &other_keys,
-     GB_PROTOCOL_FORGED_FRAME},
-    {"changed hash", GB_FRAME_PULL, 0, -1, 1, 0, &fleet_keys,
-     GB_PROTOCOL_FORGED_FRAME},
-    {"changed kind", GB_FRAME_PULL, 0, 5, 1, 0, &fleet_keys,
-     GB_PROTOCOL_FORGED_FRAME},
-    {"changed document", GB_FRAME_DOCUMENT, 100, -30, 1, 0, &fleet_keys,
-     GB_PROTOCOL_FORGED_FRAME},
-    {"changed length", GB_FRAME_PULL, 0, 3, 1, 0, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
-    {"length beyond the limit", GB_FRAME_PULL, 0, 0, 0xff, 0, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
-    {"one byte short", GB_FRAME_PULL, 0, 0, 0, -1, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
-    {"one byte more", GB_FRAME_PULL, 0, 0, 0, 1, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
-    {"only the length", GB_FRAME_DOCUMENT, 100, 0, 0, -175, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
-    {"unknown kind", (enum GbFrameKind)9, 0, 0, 0, 0, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
-    {"kind zero", (enum GbFrameKind)0, 0, 0, 0, 0, &fleet_keys,
-     GB_PROTOCOL_MALFORMED},
+    {"key of another fleet", GB_FRAME_PULL, 0, 0, 0, 0,
+     GB_PROTOCOL_FORGED_FRAME, &other_keys},
+    {"changed hash", GB_FRAME_PULL, 0, -1, 1, 0, GB_PROTOCOL_FORGED_FRAME,
+     &fleet_keys},
+    {"changed kind", GB_FRAME_PULL, 0, 5, 1, 0, GB_PROTOCOL_FORGED_FRAME,
+     &fleet_keys},
+    {"changed document", GB_FRAME_DOCUMENT, 100, -30, 1, 0,
+     GB_PROTOCOL_FORGED_FRAME, &fleet_keys},
+    {"changed length", GB_FRAME_PULL, 0, 3, 1, 0, GB_PROTOCOL_MALFORMED,
+     &fleet_keys},
+    {"length beyond the limit", GB_FRAME_PULL, 0, 0, 0xff, 0,
+     GB_PROTOCOL_MALFORMED, &fleet_keys},
+    {"one byte short", GB_FRAME_PULL, 0, 0, 0, -1, GB_PROTOCOL_MALFORMED,
+     &fleet_keys},
+    {"one byte more", GB_FRAME_PULL, 0, 0, 0, 1, GB_PROTOCOL_MALFORMED,
+     &fleet_keys},
+    {"only the length", GB_FRAME_DOCUMENT, 100, 0, 0, -175,
+     GB_PROTOCOL_MALFORMED, &fleet_keys},
+    {"unknown kind", (enum GbFrameKind)9, 0, 0, 0, 0, GB_PROTOCOL_MALFORMED,
+     &fleet_keys},
+    {"kind zero", (enum GbFrameKind)0, 0, 0, 0, 0, GB_PROTOCOL_MALFORMED,
+     &fleet_keys},
 };
 
 /* Guards against frames that are damaged, cut or of another fleet. */
--- a/tests/test_peer_exchange.c
+++ b/tests/test_peer_exchange.c
@@ -65,7 +65,7 @@
     bench->reply.done = done;
     bench->base = event_base_new();
     if (held_revision > 0) {
-        bench->document = SampleDocument_New(held_revision, 1, 0, 0);
+        bench->document = GbSampleDocument_New(held_revision, 1, 0, 0);
         bench->document->bytes = g_malloc0(HELD_BYTES);
         bench->document->size_bytes = HELD_BYTES;
     }
