--- a/src/programs/guavabend_agent_main.c
+++ b/src/programs/guavabend_agent_main.c
@@ -39,11 +39,14 @@
 {
     struct GbDaemon *daemon = &self->daemon;
     struct GbAgentTaskConfig config = {0};
+    enum GbTransportStatus status =
+        GbDaemon_OpenControl(daemon, 0, &config.listen);
 
-    GbDaemon_InitControl(daemon, 0);
+    if (status != GB_TRANSPORT_OK) {
+        return status;
+    }
     GbTargetTask_Init(&self->target, &settings->target, &self->data.super,
                       &daemon->clock.super);
-    config.listen = settings->super.listen;
     config.keys = &daemon->keys;
     config.control = &daemon->control.super;
     config.target = &self->target;
@@ -51,7 +54,7 @@
     randombytes_buf(&config.agent.incarnation,
                     sizeof(config.agent.incarnation));
     g_strlcpy(config.agent.service, settings->service, GB_NAME_BYTES);
-    config.agent.address = settings->super.listen;
+    config.agent.address = config.listen;
     GbAgentTask_Init(&self->data, &config, &daemon->clock.super);
     GbDaemon_AddTask(daemon, &self->target.super, false);
     GbDaemon_AddTask(daemon, &self->data.super, true);
--- a/src/transport/daemon.c
+++ b/src/transport/daemon.c
@@ -75,10 +75,13 @@
     return GB_TRANSPORT_OK;
 }
 
-void
-GbDaemon_InitControl(struct GbDaemon *self, int64_t quiet_us)
+enum GbTransportStatus
+GbDaemon_OpenControl(struct GbDaemon *self, int64_t quiet_us,
+                     struct GbAddress *listen)
 {
     struct GbControlTaskConfig config = {.role = self->program->role};
+    struct GbLastMessage last;
+    enum GbTransportStatus status;
 
     g_strlcpy(config.instance_name, self->settings->instance, GB_NAME_BYTES);
     config.platform = self->settings->platform;
@@ -87,6 +90,16 @@
     config.done = self->done;
     GbControlTask_Init(&self->control, &config, &self->clock.super);
     GbDaemon_AddTask(self, &self->control.super, false);
+    status = GbDaemon_OpenTasks(self);
+    if (status != GB_TRANSPORT_OK) {
+        return status;
+    }
+    *listen = self->settings->listen;
+    status = GbControlTask_Listen(&self->control, listen, &self->keys, &last);
+    if (status != GB_TRANSPORT_OK) {
+        GbLog_Event(GB_LOG_ERROR, "start_failed", "reason=\"%s\"", last.text);
+    }
+    return status;
 }
 
 void
--- a/src/transport/daemon.h
+++ b/src/transport/daemon.h
@@ -53,9 +53,14 @@
                                      const struct GbDaemonProgram *program,
                                      int argc, char **argv, void *values);
 
-/* Prepares the control task, which becomes the first task. quiet_us counts
- * for balancers only. */
-void GbDaemon_InitControl(struct GbDaemon *self, int64_t quiet_us);
+/* Prepares and opens the control task, which becomes the first task, and binds
+ * the TCP socket for documents. quiet_us counts for balancers only. *listen
+ * becomes the address that the UDP sockets must be bound to.
+ *
+ * Errors: GB_TRANSPORT_SYSTEM, after an event in the log. */
+enum GbTransportStatus GbDaemon_OpenControl(struct GbDaemon *self,
+                                            int64_t quiet_us,
+                                            struct GbAddress *listen);
 
 /* Adds a task. A data task gets views and reports to the control task. */
 void GbDaemon_AddTask(struct GbDaemon *self, struct GbTask *task,
