--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -17,7 +17,8 @@
      GB_DATA_TASKS_MAX, "tasks", "Data tasks."},
     {"quiet-ms", GB_SETTING_NUMBER, offsetof(struct Settings, quiet_ms),
      "2000", 0, 600000, "ms",
-     "A stopping balancer ends when nothing has arrived for so long."},
+     "A stopping balancer ends when it has forwarded nothing for so "
+     "long."},
     {"stop-limit-ms", GB_SETTING_NUMBER,
      offsetof(struct Settings, super.stop_limit_ms), "30000", 0, 3600000, "ms",
      "A stopping balancer ends after so long in any case."},
@@ -39,11 +40,9 @@
 open_tasks(struct Balancer *self, const struct Settings *settings)
 {
     struct GbBalancerTaskConfig config = {0};
-    enum GbTransportStatus status;
+    enum GbTransportStatus status = GbDaemon_OpenControl(
+        &self->daemon, settings->quiet_ms * US_PER_MS, &config.listen);
 
-    GbDaemon_InitControl(&self->daemon, settings->quiet_ms * US_PER_MS);
-    status = GbDaemon_OpenTasks(&self->daemon);
-    config.listen = settings->super.listen;
     config.keys = &self->daemon.keys;
     config.control = &self->daemon.control.super;
     for (uint32_t i = 0; status == GB_TRANSPORT_OK && i < settings->tasks;
@@ -53,9 +52,6 @@
                             &self->daemon.clock.super);
         GbDaemon_AddTask(&self->daemon, &self->data[i].super, true);
         status = GbDaemon_OpenTasks(&self->daemon);
-        /* The first task may have been given a free port: the others share
-         * it. */
-        config.listen = GbUdp_Address(&self->data[0].udp);
         for (uint32_t j = 0; j < i; j++) {
             GbBalancerTask_Connect(&self->data[j], &self->data[i]);
         }
--- a/tests/bench/bench_capacity_balancer.c
+++ b/tests/bench/bench_capacity_balancer.c
@@ -7,6 +7,7 @@
 #include "bench/slope.h"
 #include "coordination/balancer.h"
 #include "protocol/document_json.h"
+#include "protocol/instances_json.h"
 #include "support/documents.h"
 #include "support/fleet.h"
 #include "support/load.h"
@@ -139,10 +140,10 @@
             int64_t start_ns = load_own_cpu_ns();
             struct GbInstanceList *list;
 
-            g_assert_cmpint(
-                GbDocumentJson_ParseInstances(
-                    &list, (const uint8_t *)text->str, text->len, NULL),
-                ==, GB_PROTOCOL_OK);
+            g_assert_cmpint(GbInstancesJson_Parse(&list,
+                                                  (const uint8_t *)text->str,
+                                                  text->len, NULL),
+                            ==, GB_PROTOCOL_OK);
             g_assert_cmpuint(list->count, ==, instance_counts[i]);
             best_ns = least(best_ns, (double)(load_own_cpu_ns() - start_ns));
             heap_bytes = memory_heap_bytes() - before_bytes;
@@ -264,8 +265,7 @@
                          NULL);
     g_string_free(text, TRUE);
     text = documents_instances(1, SERVICES, INSTANCES);
-    GbDocumentJson_ParseInstances(&list, (const uint8_t *)text->str, text->len,
-                                  NULL);
+    GbInstancesJson_Parse(&list, (const uint8_t *)text->str, text->len, NULL);
     g_string_free(text, TRUE);
     view = GbView_New(document, list);
     printf(
