Hand a repeated CALL to the member that has the first copy

Cause: a caller whose retry budget is spent repeats an unbound CALL under the same request id. If the hand-over was lost, the agent dropped every repeat as a duplicate, and the call ended unknown.

Change: the memory of recent CALLs holds the member, and a repeat is handed to it again. The member answers from its record. If the pool no longer holds the member, the repeat is dropped, since the member may have run it.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -19,8 +19,11 @@
         GbFlow_SetRefused(flow, message->request_id);
     }
     else {
-        GbRecentCalls_Add(&agent->recent, message->flow_id,
-                          message->request_id, GB_RECENT_REFUSED);
+        struct GbRecentCall call = {.flow_id = message->flow_id,
+                                    .request_id = message->request_id,
+                                    .outcome = GB_RECENT_REFUSED};
+
+        GbRecentCalls_Add(&agent->recent, &call);
     }
     GbReply_NotRun(agent, path, message, reason);
 }
@@ -178,25 +181,26 @@
     }
 }
 
-/* Answers an unbound CALL that has left no flow record but was decided about
- * a moment ago: a duplicate of a refused CALL must not run, and one of a CALL
- * that was handed over must not be refused here. */
+/* Handles an unbound CALL that has left no flow record but was decided about
+ * a moment ago: a duplicate of a refused CALL must not run, and a repeat of a
+ * CALL that was handed over may only go to the same member. */
 static bool
 is_known(struct GbAgent *agent, const struct GbPath *path,
          const struct GbMessage *message)
 {
-    switch (GbRecentCalls_Find(&agent->recent, message->flow_id,
-                               message->request_id)) {
-    case GB_RECENT_REFUSED:
+    const struct GbRecentCall *call = GbRecentCalls_Find(
+        &agent->recent, message->flow_id, message->request_id);
+
+    if (call == NULL) {
+        return false;
+    }
+    if (call->outcome == GB_RECENT_REFUSED) {
         GbReply_NotRun(agent, path, message, GB_NOT_RUN_BUSY);
-        return true;
-    case GB_RECENT_HANDED_OVER:
-        GbCounters_Add(agent->counters, GB_COUNTER_DUPLICATES_DROPPED, 1);
-        return true;
-    case GB_RECENT_NONE:
-        break;
     }
-    return false;
+    else {
+        GbHandover_Again(agent, path, message, call->member_id);
+    }
+    return true;
 }
 
 /* Whether another member should be asked to take an unbound CALL. */
--- a/src/coordination/handover.c
+++ b/src/coordination/handover.c
@@ -79,21 +79,32 @@
     return call;
 }
 
+static void
+send_handover(struct GbAgent *agent, const struct GbPath *path,
+              const struct GbMessage *message, const struct GbMember *member)
+{
+    struct GbMessage handover = *message;
+
+    handover.kind = GB_MESSAGE_HANDOVER;
+    handover.handover.path = *path;
+    handover.handover.call = message->call;
+    GbMembership_Send(agent, &member->address, &handover);
+}
+
 static void
 hand_over(struct GbAgent *agent, const struct WaitingCall *call,
           struct GbMember *member)
 {
-    struct GbMessage handover = call->message;
+    struct GbRecentCall recent = {.flow_id = call->message.flow_id,
+                                  .request_id = call->message.request_id,
+                                  .outcome = GB_RECENT_HANDED_OVER,
+                                  .member_id = member->instance_id};
 
-    handover.kind = GB_MESSAGE_HANDOVER;
-    handover.handover.path = call->path;
-    handover.handover.call = call->message.call;
     GbCounters_Add(agent->counters, GB_COUNTER_HANDOVERS_SENT, 1);
-    GbRecentCalls_Add(&agent->recent, handover.flow_id, handover.request_id,
-                      GB_RECENT_HANDED_OVER);
+    GbRecentCalls_Add(&agent->recent, &recent);
     /* Later CALLs are compared with a load that includes this one. */
     member->load.queued++;
-    GbMembership_Send(agent, &member->address, &handover);
+    send_handover(agent, &call->path, &call->message, member);
 }
 
 /* Member that the CALL goes to; NULL if it stays here. */
@@ -199,6 +210,18 @@
     return true;
 }
 
+void
+GbHandover_Again(struct GbAgent *agent, const struct GbPath *path,
+                 const struct GbMessage *message, uint64_t member_id)
+{
+    const struct GbMember *member = GbPool_Find(&agent->pool, member_id);
+
+    if (member != NULL) {
+        GbCounters_Add(agent->counters, GB_COUNTER_HANDOVERS_REPEATED, 1);
+        send_handover(agent, path, message, member);
+    }
+}
+
 void
 GbHandover_Reported(struct GbAgent *agent, const struct GbMessage *message)
 {
--- a/src/coordination/handover.h
+++ b/src/coordination/handover.h
@@ -32,6 +32,12 @@
 bool GbHandover_Take(struct GbAgent *agent, const struct GbPath *path,
                      const struct GbMessage *message);
 
+/* Hands a repeated CALL to the member that the first copy went to, so that it
+ * is answered if a datagram was lost. The member may have run it; therefore
+ * the CALL is dropped if the pool does not hold the member any more. */
+void GbHandover_Again(struct GbAgent *agent, const struct GbPath *path,
+                      const struct GbMessage *message, uint64_t member_id);
+
 /* A member has reported its load. */
 void GbHandover_Reported(struct GbAgent *agent,
                          const struct GbMessage *message);
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -82,9 +82,9 @@
     [GB_COUNTER_MEMBERS_UNLISTED] =
         {"members_unlisted_total",
          "Messages of agents that the pool table does not hold."},
-    [GB_COUNTER_DUPLICATES_DROPPED] =
-        {"duplicates_dropped_total",
-         "Duplicates of CALLs that were handed over."},
+    [GB_COUNTER_HANDOVERS_REPEATED] =
+        {"handovers_repeated_total",
+         "Repeated CALLs that were handed to the same agent again."},
     [GB_COUNTER_MAILBOX_DROPPED] = {"mailbox_dropped_total",
                                     "Messages refused by a full mailbox."},
     [GB_COUNTER_PLATFORM_CALLS] = {"platform_calls_total",
--- a/src/state/recent_calls.c
+++ b/src/state/recent_calls.c
@@ -1,15 +1,9 @@
 #include "state/recent_calls.h"
 
-struct Entry {
-    uint64_t flow_id;
-    uint32_t request_id;
-    enum GbRecentOutcome outcome;
-};
-
 static guint
 hash(gconstpointer data)
 {
-    const struct Entry *entry = data;
+    const struct GbRecentCall *entry = data;
 
     /* Flow ids are random. */
     return (guint)(entry->flow_id ^ (entry->flow_id >> 32)) ^
@@ -19,8 +13,8 @@
 static gboolean
 is_equal(gconstpointer a, gconstpointer b)
 {
-    const struct Entry *entry_a = a;
-    const struct Entry *entry_b = b;
+    const struct GbRecentCall *entry_a = a;
+    const struct GbRecentCall *entry_b = b;
 
     return entry_a->flow_id == entry_b->flow_id &&
            entry_a->request_id == entry_b->request_id;
@@ -42,33 +36,27 @@
 }
 
 void
-GbRecentCalls_Add(struct GbRecentCalls *self, uint64_t flow_id,
-                  uint32_t request_id, enum GbRecentOutcome outcome)
+GbRecentCalls_Add(struct GbRecentCalls *self, const struct GbRecentCall *call)
 {
-    struct Entry key = {.flow_id = flow_id, .request_id = request_id};
-    struct Entry *entry = g_hash_table_lookup(self->by_id, &key);
+    struct GbRecentCall *known = g_hash_table_lookup(self->by_id, call);
 
-    if (entry != NULL) {
-        entry->outcome = outcome;
+    if (known != NULL) {
+        *known = *call;
         return;
     }
     if (self->by_age.length == GB_RECENT_CALLS_MAX) {
         g_hash_table_remove(self->by_id, g_queue_pop_head(&self->by_age));
     }
-    entry = g_new0(struct Entry, 1);
-    entry->flow_id = flow_id;
-    entry->request_id = request_id;
-    entry->outcome = outcome;
-    g_hash_table_add(self->by_id, entry);
-    g_queue_push_tail(&self->by_age, entry);
+    known = g_memdup2(call, sizeof(*call));
+    g_hash_table_add(self->by_id, known);
+    g_queue_push_tail(&self->by_age, known);
 }
 
-enum GbRecentOutcome
+const struct GbRecentCall *
 GbRecentCalls_Find(const struct GbRecentCalls *self, uint64_t flow_id,
                    uint32_t request_id)
 {
-    struct Entry key = {.flow_id = flow_id, .request_id = request_id};
-    const struct Entry *entry = g_hash_table_lookup(self->by_id, &key);
+    struct GbRecentCall key = {.flow_id = flow_id, .request_id = request_id};
 
-    return entry != NULL ? entry->outcome : GB_RECENT_NONE;
+    return g_hash_table_lookup(self->by_id, &key);
 }
--- a/src/state/recent_calls.h
+++ b/src/state/recent_calls.h
@@ -7,18 +7,25 @@
 #define GB_RECENT_CALLS_MAX 4096
 
 enum GbRecentOutcome {
-    GB_RECENT_NONE,
     /* Refused: a late duplicate must not run. */
     GB_RECENT_REFUSED,
     /* Handed to another agent, which answers it. */
     GB_RECENT_HANDED_OVER
 };
 
+struct GbRecentCall {
+    uint64_t flow_id;
+    uint32_t request_id;
+    enum GbRecentOutcome outcome;
+    /* Instance that it was handed to. */
+    uint64_t member_id;
+};
+
 /* What became of the latest unbound CALLs that left no flow record. Datagrams
  * are duplicated within milliseconds; the bound covers a second of 4,096
  * refusals. */
 struct GbRecentCalls {
-    /* Struct Entry by itself: flow id and request id. */
+    /* Struct GbRecentCall by its flow id and request id. */
     GHashTable *by_id;
     GQueue by_age;
 };
@@ -27,11 +34,13 @@
 
 void GbRecentCalls_Finish(struct GbRecentCalls *self);
 
-/* Remembers an outcome in place of the oldest one if all are in use. */
-void GbRecentCalls_Add(struct GbRecentCalls *self, uint64_t flow_id,
-                       uint32_t request_id, enum GbRecentOutcome outcome);
+/* Remembers a call in place of the oldest one if all are in use. */
+void GbRecentCalls_Add(struct GbRecentCalls *self,
+                       const struct GbRecentCall *call);
 
-enum GbRecentOutcome GbRecentCalls_Find(const struct GbRecentCalls *self,
-                                        uint64_t flow_id, uint32_t request_id);
+/* What became of a call; NULL if it is not remembered. */
+const struct GbRecentCall *GbRecentCalls_Find(const struct GbRecentCalls *self,
+                                              uint64_t flow_id,
+                                              uint32_t request_id);
 
 #endif
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -352,15 +352,24 @@
 
     GbRecentCalls_Init(&recent);
     for (uint32_t i = 0; i <= GB_RECENT_CALLS_MAX; i++) {
-        GbRecentCalls_Add(&recent, 1, i, GB_RECENT_REFUSED);
-        GbRecentCalls_Add(&recent, 1, i, GB_RECENT_REFUSED);
+        struct GbRecentCall call = {
+            .flow_id = 1, .request_id = i, .member_id = i};
+
+        call.outcome = GB_RECENT_REFUSED;
+        GbRecentCalls_Add(&recent, &call);
+        call.outcome = GB_RECENT_HANDED_OVER;
+        GbRecentCalls_Add(&recent, &call);
     }
     g_assert_cmpuint(recent.by_age.length, ==, GB_RECENT_CALLS_MAX);
-    g_assert_cmpint(GbRecentCalls_Find(&recent, 1, 0), ==, GB_RECENT_NONE);
-    g_assert_cmpint(GbRecentCalls_Find(&recent, 1, 1), ==, GB_RECENT_REFUSED);
-    g_assert_cmpint(GbRecentCalls_Find(&recent, 1, GB_RECENT_CALLS_MAX), ==,
-                    GB_RECENT_REFUSED);
-    g_assert_cmpint(GbRecentCalls_Find(&recent, 2, 1), ==, GB_RECENT_NONE);
+    g_assert_null(GbRecentCalls_Find(&recent, 1, 0));
+    g_assert_null(GbRecentCalls_Find(&recent, 2, 1));
+    for (uint32_t i = 1; i <= GB_RECENT_CALLS_MAX; i++) {
+        const struct GbRecentCall *call = GbRecentCalls_Find(&recent, 1, i);
+
+        g_assert_nonnull(call);
+        g_assert_cmpint(call->outcome, ==, GB_RECENT_HANDED_OVER);
+        g_assert_cmpuint(call->member_id, ==, i);
+    }
     GbRecentCalls_Finish(&recent);
 }
 
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -266,22 +266,27 @@
 struct DuplicateCase {
     const char *name;
     bool is_reported;
+    /* Whether the pool still holds the members. */
+    bool is_listed;
     uint64_t flow_id;
     uint32_t request_id;
-    /* Questions in all after the second CALL. */
+    /* Questions and hand-overs in all after the second CALL. */
     uint32_t asks;
+    uint32_t handovers;
 };
 
 static const struct DuplicateCase duplicate_cases[] = {
-    {"while waiting", false, 1, 1, 3},
-    {"after the hand-over", true, 1, 1, 3},
-    {"another request", false, 1, 2, 6},
-    {"another flow", true, 2, 1, 6},
+    {"while waiting", false, true, 1, 1, 3, 0},
+    {"after the hand-over", true, true, 1, 1, 3, 2},
+    {"after the hand-over, member gone", true, false, 1, 1, 3, 1},
+    {"another request", false, true, 1, 2, 6, 0},
+    {"another flow", true, true, 2, 1, 6, 1},
 };
 
-/* Guards against a duplicate datagram that is refused here while its first
- * copy runs at the member: the caller would be told "not run" of a request
- * that ran. */
+/* Guards against a duplicate datagram that is placed or refused here while its
+ * first copy runs at the member: the caller would be told "not run" of a
+ * request that ran. Guards also against a repeat that nobody answers after the
+ * hand-over was lost. */
 static void
 test_duplicate(void)
 {
@@ -290,6 +295,8 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(duplicate_cases); i++) {
         const struct DuplicateCase *row = &duplicate_cases[i];
+        struct GbAddress first = {0};
+        const struct FixtureSent *sent;
 
         g_test_message("%s", row->name);
         start_busy(MEMBERS, &idle);
@@ -297,12 +304,25 @@
         agent_fixture_call(&fixture, 1, 1, FIXTURE_LOOK, NULL);
         if (row->is_reported) {
             agent_fixture_report(&fixture, loads);
+            first = agent_fixture_last_sent(&fixture, GB_MESSAGE_HANDOVER)->to;
+        }
+        if (!row->is_listed) {
+            fixture.setup.members = 0;
+            agent_fixture_set_view(&fixture, 0);
         }
         agent_fixture_call(&fixture, row->flow_id, row->request_id,
                            FIXTURE_LOOK, NULL);
         g_assert_cmpuint(
             agent_fixture_count_sent(&fixture, GB_MESSAGE_LOAD_ASK), ==,
             row->asks);
+        g_assert_cmpuint(
+            agent_fixture_count_sent(&fixture, GB_MESSAGE_HANDOVER), ==,
+            row->handovers);
+        sent = agent_fixture_last_sent(&fixture, GB_MESSAGE_HANDOVER);
+        if (sent != NULL) {
+            g_assert_true(GbAddress_Equal(&sent->to, &first));
+            g_assert_cmpuint(sent->message.handover.path.tag, ==, 99);
+        }
         g_assert_cmpuint(fixture.reply_count, ==, 0);
         agent_fixture_finish(&fixture);
     }
