Let bench-policy take a seed

Cause: with one seed it is not known how far the p99 of 20 crests is chance.

Change: a second argument is the seed.

--- a/tests/bench/bench_policy.c
+++ b/tests/bench/bench_policy.c
@@ -52,7 +52,7 @@
 }
 
 static void
-run(const struct Scenario *scenario)
+run(const struct Scenario *scenario, uint64_t seed)
 {
     struct PolicyResult results[POLICY_END];
     double limit;
@@ -64,7 +64,7 @@
            "p99", "p99.9", "p99/o", "in time", "busy", "reqs", "sends",
            "moved", "asks");
     for (int i = 0; i < POLICY_END; i++) {
-        policy_simulation_run(scenario, (enum Policy)i, SEED, CYCLES,
+        policy_simulation_run(scenario, (enum Policy)i, seed, CYCLES,
                               &results[i]);
     }
     limit = quantile(&results[POLICY_OMNISCIENT], 0.99);
@@ -86,21 +86,23 @@
     fflush(stdout);
 }
 
-/* With an argument, runs the scenario of that number only. */
+/* The first argument runs the scenario of that number only; the second one is
+ * the seed. */
 int
 main(int argc, char **argv)
 {
+    uint64_t seed = argc > 2 ? (uint64_t)atoi(argv[2]) : SEED;
     size_t only = argc > 1 ? (size_t)atoi(argv[1]) : G_N_ELEMENTS(scenarios);
 
     printf(
         "Latencies in ms at the crest, longer requests left out. p99/o: p99 "
         "over the\nomniscient one. busy, reqs: largest over mean of busy "
         "time and of requests\nover 10 s. sends, moved, asks: submissions, "
-        "hand-overs and load questions\nper call. Seed %d, %d crests.\n",
-        SEED, CYCLES - 1);
+        "hand-overs and load questions\nper call. Seed %u, %d crests.\n",
+        (unsigned)seed, CYCLES - 1);
     for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
         if (argc < 2 || i == only) {
-            run(&scenarios[i]);
+            run(&scenarios[i], seed);
         }
     }
     return 0;
