--- a/src/programs/guavabend_agent_main.c
+++ b/src/programs/guavabend_agent_main.c
@@ -40,10 +40,11 @@
     struct GbDaemon *daemon = &self->daemon;
     struct GbAgentTaskConfig config = {0};
 
-    GbDaemon_InitControl(daemon, 0);
+    if (GbDaemon_OpenControl(daemon, 0, &config.listen) != GB_TRANSPORT_OK) {
+        return GB_TRANSPORT_SYSTEM;
+    }
     GbTargetTask_Init(&self->target, &settings->target, &self->data.super,
                       &daemon->clock.super);
-    config.listen = settings->super.listen;
     config.keys = &daemon->keys;
     config.control = &daemon->control.super;
     config.target = &self->target;
@@ -51,7 +52,7 @@
     randombytes_buf(&config.agent.incarnation,
                     sizeof(config.agent.incarnation));
     g_strlcpy(config.agent.service, settings->service, GB_NAME_BYTES);
-    config.agent.address = settings->super.listen;
+    config.agent.address = config.listen;
     GbAgentTask_Init(&self->data, &config, &daemon->clock.super);
     GbDaemon_AddTask(daemon, &self->target.super, false);
     GbDaemon_AddTask(daemon, &self->data.super, true);
--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -39,24 +39,19 @@
 static enum GbTransportStatus
 open_tasks(struct Balancer *self, const struct Settings *settings)
 {
+    struct GbDaemon *daemon = &self->daemon;
     struct GbBalancerTaskConfig config = {0};
-    enum GbTransportStatus status;
+    enum GbTransportStatus status = GbDaemon_OpenControl(
+        daemon, settings->quiet_ms * US_PER_MS, &config.listen);
 
-    GbDaemon_InitControl(&self->daemon, settings->quiet_ms * US_PER_MS);
-    status = GbDaemon_OpenTasks(&self->daemon);
-    config.listen = settings->super.listen;
-    config.keys = &self->daemon.keys;
-    config.control = &self->daemon.control.super;
+    config.keys = &daemon->keys;
+    config.control = &daemon->control.super;
     for (uint32_t i = 0; status == GB_TRANSPORT_OK && i < settings->tasks;
          i++) {
         config.index = i;
-        GbBalancerTask_Init(&self->data[i], &config,
-                            &self->daemon.clock.super);
-        GbDaemon_AddTask(&self->daemon, &self->data[i].super, true);
-        status = GbDaemon_OpenTasks(&self->daemon);
-        /* The first task may have been given a free port: the others share
-         * it. */
-        config.listen = GbUdp_Address(&self->data[0].udp);
+        GbBalancerTask_Init(&self->data[i], &config, &daemon->clock.super);
+        GbDaemon_AddTask(daemon, &self->data[i].super, true);
+        status = GbDaemon_OpenTasks(daemon);
         for (uint32_t j = 0; j < i; j++) {
             GbBalancerTask_Connect(&self->data[j], &self->data[i]);
         }
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <stddef.h>
 
+#include "protocol/revision_wire.h"
 #include "transport/mails.h"
 
 #define MAILBOX_LIMIT 256
@@ -83,6 +84,12 @@
         GbBalancer_HeardByOther(
             &self->balancer, ((struct GbAnsweredByMail *)mail)->instance_id);
     }
+    else if (mail->klass == &GbAnnounceMail_Class) {
+        const struct GbAnnounceMail *announce = (struct GbAnnounceMail *)mail;
+
+        GbRevisionWire_Send(&self->udp.super, &announce->to,
+                            &announce->revision);
+    }
 }
 
 static int64_t
--- a/src/transport/daemon.h
+++ b/src/transport/daemon.h
@@ -53,9 +53,14 @@
                                      const struct GbDaemonProgram *program,
                                      int argc, char **argv, void *values);
 
-/* Prepares the control task, which becomes the first task. quiet_us counts
- * for balancers only. */
-void GbDaemon_InitControl(struct GbDaemon *self, int64_t quiet_us);
+/* Opens the control task, which becomes the first task, and its TCP socket.
+ * *listen is the address that the UDP sockets must be bound to. quiet_us
+ * counts for balancers only.
+ *
+ * Errors: GB_TRANSPORT_SYSTEM, which is logged. */
+enum GbTransportStatus GbDaemon_OpenControl(struct GbDaemon *self,
+                                            int64_t quiet_us,
+                                            struct GbAddress *listen);
 
 /* Adds a task. A data task gets views and reports to the control task. */
 void GbDaemon_AddTask(struct GbDaemon *self, struct GbTask *task,
--- a/src/transport/mails.c
+++ b/src/transport/mails.c
@@ -26,6 +26,7 @@
 const struct GbMailClass GbCountersMail_Class = {free_plain};
 const struct GbMailClass GbRevisionMail_Class = {free_plain};
 const struct GbMailClass GbAnsweredByMail_Class = {free_plain};
+const struct GbMailClass GbAnnounceMail_Class = {free_plain};
 const struct GbMailClass GbDrainMail_Class = {free_plain};
 const struct GbMailClass GbStartMail_Class = {free_plain};
 const struct GbMailClass GbCancelMail_Class = {free_plain};
@@ -78,6 +79,18 @@
     return &mail->super;
 }
 
+struct GbMail *
+GbAnnounceMail_New(const struct GbAddress *to,
+                   const struct GbRevision *revision)
+{
+    struct GbAnnounceMail *mail = g_new0(struct GbAnnounceMail, 1);
+
+    mail->super.klass = &GbAnnounceMail_Class;
+    mail->to = *to;
+    mail->revision = *revision;
+    return &mail->super;
+}
+
 struct GbMail *
 GbDrainMail_New(void)
 {
--- a/src/transport/mails.h
+++ b/src/transport/mails.h
@@ -39,6 +39,13 @@
     uint64_t instance_id;
 };
 
+/* From control to a data task: tell another process of a revision. */
+struct GbAnnounceMail {
+    struct GbMail super;
+    struct GbAddress to;
+    struct GbRevision revision;
+};
+
 /* From control to an agent's data task: the instance is leaving. */
 struct GbDrainMail {
     struct GbMail super;
@@ -95,6 +102,7 @@
 extern const struct GbMailClass GbCountersMail_Class;
 extern const struct GbMailClass GbRevisionMail_Class;
 extern const struct GbMailClass GbAnsweredByMail_Class;
+extern const struct GbMailClass GbAnnounceMail_Class;
 extern const struct GbMailClass GbDrainMail_Class;
 extern const struct GbMailClass GbStartMail_Class;
 extern const struct GbMailClass GbCancelMail_Class;
@@ -111,6 +119,8 @@
 struct GbMail *GbRevisionMail_New(const struct GbAddress *from,
                                   const struct GbRevision *revision);
 struct GbMail *GbAnsweredByMail_New(uint64_t instance_id);
+struct GbMail *GbAnnounceMail_New(const struct GbAddress *to,
+                                  const struct GbRevision *revision);
 struct GbMail *GbDrainMail_New(void);
 struct GbMail *GbStartMail_New(const struct GbTargetCall *call);
 struct GbMail *GbCancelMail_New(uint64_t work_id);
