--- a/src/programs/guavabend_main.c
+++ b/src/programs/guavabend_main.c
@@ -15,6 +15,8 @@
      GbCommand_Call},
     {"check", "Check a document and report all errors.", GbCommand_Check},
     {"diff", "Show what differs between two documents.", GbCommand_Diff},
+    {"load", "Make a bounded load of calls and report how they went.",
+     GbCommand_Load},
     {"promote", "Check that a document proven in trial may go to production.",
      GbCommand_Promote},
     {"status", "Show which document balancers and agents act on.",
--- a/src/state/flow_table.c
+++ b/src/state/flow_table.c
@@ -54,6 +54,7 @@
     flow = g_new0(struct GbFlow, 1);
     flow->id = flow_id;
     flow->issued_ms = issued_ms;
+    flow->created_us = now_us;
     flow->last_used_us = now_us;
     flow->link.data = flow;
     g_hash_table_insert(self->by_id, &flow->id, flow);
@@ -76,6 +77,15 @@
     return self->by_use.head != NULL ? self->by_use.head->data : NULL;
 }
 
+int64_t
+GbFlowTable_LastUseUs(const struct GbFlowTable *self)
+{
+    const struct GbFlow *newest =
+        self->by_use.tail != NULL ? self->by_use.tail->data : NULL;
+
+    return newest != NULL ? newest->last_used_us : 0;
+}
+
 void
 GbFlowTable_Remove(struct GbFlowTable *self, struct GbFlow *flow)
 {
--- /dev/null
+++ b/tests/support/scenario_verbs.c
@@ -0,0 +1,450 @@
+#include <string.h>
+
+#include "support/scenario.h"
+#include "support/scenario_expect.h"
+#include "support/scenario_words.h"
+
+#define US_PER_MS 1000
+#define PERCENT_ALL 100
+/* Longest wait for calls. */
+#define CALLS_WAIT_US INT64_C(60000000)
+
+struct Verb {
+    const char *name;
+    /* Words that must follow. */
+    uint32_t words_min;
+    void (*run)(struct GbScenario *self);
+};
+
+struct KindName {
+    const char *name;
+    enum GbMessageKind kind;
+};
+
+static const struct KindName kind_names[] = {
+    {"CALL", GB_MESSAGE_CALL},       {"FETCH", GB_MESSAGE_FETCH},
+    {"CANCEL", GB_MESSAGE_CANCEL},   {"ACCEPTED", GB_MESSAGE_ACCEPTED},
+    {"DATA", GB_MESSAGE_DATA},       {"NOT_RUN", GB_MESSAGE_NOT_RUN},
+    {"UNKNOWN", GB_MESSAGE_UNKNOWN},
+};
+
+static struct GbSimProcess *
+process(struct GbScenario *self, uint32_t index)
+{
+    struct GbSimProcess *found =
+        GbSimulation_Find(&self->simulation, GbScenarioWords_At(self, index));
+
+    if (found == NULL) {
+        GbScenario_Fail(self, "no process %s",
+                        GbScenarioWords_At(self, index));
+    }
+    return found;
+}
+
+static void
+do_seed(struct GbScenario *self)
+{
+    if (self->simulation.processes->len > 0) {
+        GbScenario_Fail(self, "seed must come first");
+        return;
+    }
+    GbSimulation_Finish(&self->simulation);
+    GbSimulation_Init(&self->simulation,
+                      (uint64_t)GbScenarioWords_Number(self, 1), true);
+}
+
+static void
+do_start(struct GbScenario *self)
+{
+    static const char *const roles[] = {"balancer", "agent", "caller"};
+    const char *service = GbScenarioWords_TextAfter(self, "service", "desk");
+    const char *holder = GbScenarioWords_TextAfter(self, "at", "");
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(roles); i++) {
+        struct GbSimProcess *made;
+
+        if (!GbScenarioWords_Is(self, 1, roles[i])) {
+            continue;
+        }
+        if (holder[0] != '\0') {
+            struct GbSimProcess *other =
+                GbSimulation_Find(&self->simulation, holder);
+
+            if (other == NULL || other->state != GB_SIM_STOPPED) {
+                GbScenario_Fail(self, "%s has not ended", holder);
+                return;
+            }
+            made = GbSimulation_StartAt(&self->simulation, (enum GbSimRole)i,
+                                        GbScenarioWords_At(self, 2), service,
+                                        &other->node.address);
+        }
+        else {
+            made = GbSimulation_Start(&self->simulation, (enum GbSimRole)i,
+                                      GbScenarioWords_At(self, 2), service);
+        }
+        if (made == NULL) {
+            GbScenario_Fail(self, "%s exists already",
+                            GbScenarioWords_At(self, 2));
+        }
+        else if (made->role == GB_SIM_CALLER &&
+                 GbScenarioWords_After(self, "budget") > 0) {
+            made->caller.core.budget.percent =
+                (uint32_t)GbScenarioWords_NumberAfter(self, "budget", 0);
+        }
+        return;
+    }
+    GbScenario_Fail(self, "no role %s", GbScenarioWords_At(self, 1));
+}
+
+static void
+do_stop(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+
+    if (found != NULL) {
+        GbSimProcess_Stop(found);
+    }
+}
+
+static void
+do_kill(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+
+    if (found != NULL) {
+        GbSimProcess_Kill(found);
+    }
+}
+
+static void
+do_restart(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+
+    if (found != NULL) {
+        GbSimProcess_Kill(found);
+        GbSimulation_Restart(&self->simulation, found,
+                             GbScenarioWords_NumberAfter(self, "after", 0) *
+                                 US_PER_MS);
+    }
+}
+
+static void
+do_pause(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+
+    if (found != NULL) {
+        GbSimProcess_Pause(found);
+    }
+}
+
+static void
+do_resume(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+
+    if (found != NULL) {
+        GbSimProcess_Resume(found);
+    }
+}
+
+static enum GbMessageKind
+kind_after(struct GbScenario *self)
+{
+    const char *name = GbScenarioWords_TextAfter(self, "kind", "");
+
+    if (name[0] == '\0') {
+        return 0;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(kind_names); i++) {
+        if (strcmp(kind_names[i].name, name) == 0) {
+            return kind_names[i].kind;
+        }
+    }
+    GbScenario_Fail(self, "no message %s", name);
+    return 0;
+}
+
+/* Adds a rule for A and B in both directions, or for "A to B" in one. */
+static void
+add_rule(struct GbScenario *self, enum GbSimFault fault)
+{
+    bool is_one_way = GbScenarioWords_Is(self, 2, "to");
+    const char *from = GbScenarioWords_At(self, 1);
+    const char *to = GbScenarioWords_At(self, is_one_way ? 3 : 2);
+    struct GbSimRule rule = {.fault = fault};
+
+    rule.kind = kind_after(self);
+    rule.percent =
+        (uint32_t)GbScenarioWords_NumberAfter(self, "percent", PERCENT_ALL);
+    rule.count = (uint32_t)GbScenarioWords_NumberAfter(self, "count", 0);
+    rule.delay_us = GbScenarioWords_NumberAfter(self, "by", 0) * US_PER_MS;
+    if (GbScenarioWords_After(self, "until") > 0) {
+        rule.delay_us =
+            GbScenarioWords_NumberAfter(self, "until", 0) * US_PER_MS -
+            self->simulation.now_us;
+    }
+    g_strlcpy(rule.from, strcmp(from, "any") == 0 ? "" : from,
+              sizeof(rule.from));
+    g_strlcpy(rule.to, strcmp(to, "any") == 0 ? "" : to, sizeof(rule.to));
+    GbSimNetwork_AddRule(&self->simulation.network, &rule);
+    if (!is_one_way) {
+        char swapped[GB_SIM_NAME_BYTES];
+
+        memcpy(swapped, rule.from, sizeof(swapped));
+        memcpy(rule.from, rule.to, sizeof(swapped));
+        memcpy(rule.to, swapped, sizeof(swapped));
+        GbSimNetwork_AddRule(&self->simulation.network, &rule);
+    }
+}
+
+static void
+do_cut(struct GbScenario *self)
+{
+    add_rule(self, GB_SIM_CUT);
+}
+
+static void
+do_drop(struct GbScenario *self)
+{
+    add_rule(self, GB_SIM_DROP);
+}
+
+static void
+do_duplicate(struct GbScenario *self)
+{
+    add_rule(self, GB_SIM_DUPLICATE);
+}
+
+static void
+do_delay(struct GbScenario *self)
+{
+    add_rule(self, GB_SIM_DELAY);
+}
+
+static void
+do_reorder(struct GbScenario *self)
+{
+    add_rule(self, GB_SIM_REORDER);
+}
+
+static void
+do_heal(struct GbScenario *self)
+{
+    struct GbSimNetwork *network = &self->simulation.network;
+
+    if (GbScenarioWords_Is(self, 1, "all")) {
+        GbSimNetwork_Heal(network, "", "");
+        return;
+    }
+    GbSimNetwork_Heal(network, GbScenarioWords_At(self, 1),
+                      GbScenarioWords_At(self, 2));
+    GbSimNetwork_Heal(network, GbScenarioWords_At(self, 2),
+                      GbScenarioWords_At(self, 1));
+}
+
+static void
+do_publish(struct GbScenario *self)
+{
+    struct GbSimPublication publication = {
+        .revision = (uint64_t)GbScenarioWords_NumberAfter(self, "revision", 0),
+        .variant = (uint32_t)GbScenarioWords_NumberAfter(self, "variant", 0),
+        .slots = (uint32_t)GbScenarioWords_NumberAfter(self, "slots", 0),
+        .in_force_from_us =
+            GbScenarioWords_NumberAfter(self, "from", 0) * US_PER_MS,
+    };
+
+    GbSimPlatform_Publish(&self->simulation.platform, &publication);
+}
+
+static void
+set_feed(struct GbScenario *self, struct GbSimProcess *target)
+{
+    const struct GbSimPlatform *platform = &self->simulation.platform;
+    struct GbSimFeed *feed = &target->feed;
+
+    if (GbScenarioWords_Is(self, 1, "down")) {
+        feed->is_down = true;
+    }
+    else if (GbScenarioWords_Is(self, 1, "stale")) {
+        GbSimFeed_SetStale(feed, platform, true);
+    }
+    else if (GbScenarioWords_Is(self, 1, "lagging")) {
+        GbSimFeed_SetLagging(feed, platform, true);
+    }
+    else if (GbScenarioWords_Is(self, 1, "up")) {
+        feed->is_down = false;
+        GbSimFeed_SetStale(feed, platform, false);
+        GbSimFeed_SetLagging(feed, platform, false);
+    }
+    else {
+        GbScenario_Fail(self, "no state %s", GbScenarioWords_At(self, 1));
+    }
+}
+
+static void
+do_platform(struct GbScenario *self)
+{
+    const GPtrArray *processes = self->simulation.processes;
+
+    for (guint i = 0; i < processes->len; i++) {
+        struct GbSimProcess *each = processes->pdata[i];
+
+        if (GbScenarioWords_Is(self, 2, "all") ||
+            GbScenarioWords_Is(self, 2, each->node.name)) {
+            set_feed(self, each);
+        }
+    }
+}
+
+static void
+do_leaving(struct GbScenario *self)
+{
+    GbSimulation_SetLeaving(&self->simulation, GbScenarioWords_At(self, 1));
+}
+
+static void
+do_unlist(struct GbScenario *self)
+{
+    GbSimulation_Unlist(&self->simulation, GbScenarioWords_At(self, 1));
+}
+
+static void
+do_target(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+    struct GbSimTarget *target;
+
+    if (found == NULL || found->role != GB_SIM_AGENT) {
+        GbScenario_Fail(self, "%s has no target", GbScenarioWords_At(self, 1));
+        return;
+    }
+    target = &found->agent.target;
+    target->work_us = GbScenarioWords_NumberAfter(
+                          self, "work", target->work_us / US_PER_MS) *
+                      US_PER_MS;
+    target->slots =
+        (uint32_t)GbScenarioWords_NumberAfter(self, "slots", target->slots);
+    target->pack_bytes = (uint32_t)GbScenarioWords_NumberAfter(
+        self, "pack", target->pack_bytes);
+    target->is_shedding = GbScenarioWords_NumberAfter(
+                              self, "shedding", target->is_shedding) != 0;
+    target->is_closed =
+        GbScenarioWords_NumberAfter(self, "closed", target->is_closed) != 0;
+    target->is_cutting =
+        GbScenarioWords_NumberAfter(self, "cutting", target->is_cutting) != 0;
+    if (GbScenarioWords_After(self, "cold") > 0) {
+        target->cold_until_us =
+            self->simulation.now_us +
+            GbScenarioWords_NumberAfter(self, "cold", 0) * US_PER_MS;
+    }
+    if (GbScenarioWords_Is(self, 2, "die")) {
+        GbSimTarget_DropAll(target, true);
+    }
+}
+
+static void
+do_clock(struct GbScenario *self)
+{
+    struct GbSimProcess *found = process(self, 1);
+    int64_t step_us =
+        GbScenarioWords_NumberAfter(self, "forward", 0) * US_PER_MS -
+        GbScenarioWords_NumberAfter(self, "back", 0) * US_PER_MS;
+
+    if (found != NULL) {
+        found->wall_offset_us += step_us;
+    }
+}
+
+static void
+start_calls(struct GbScenario *self, const char *operation)
+{
+    struct GbSimProcess *caller = process(self, 1);
+    const char *label = GbScenarioWords_TextAfter(self, "as", "");
+    int64_t count = GbScenarioWords_NumberAfter(self, "count", 1);
+
+    for (int64_t i = 0; i < count && caller != NULL; i++) {
+        if (GbSimulation_Call(&self->simulation, caller,
+                              GbScenarioWords_At(self, 2), operation,
+                              label) == NULL) {
+            GbScenario_Fail(self, "%s cannot call %s",
+                            GbScenarioWords_At(self, 1), operation);
+            return;
+        }
+    }
+}
+
+static void
+do_call(struct GbScenario *self)
+{
+    start_calls(self, GbScenarioWords_At(self, 3));
+}
+
+static void
+do_download(struct GbScenario *self)
+{
+    start_calls(self, "pack");
+}
+
+static void
+do_wait(struct GbScenario *self)
+{
+    struct GbSimulation *simulation = &self->simulation;
+
+    if (GbScenarioWords_Is(self, 1, "calls")) {
+        GbSimulation_RunCalls(simulation, simulation->now_us + CALLS_WAIT_US);
+    }
+    else if (GbScenarioWords_Is(self, 1, "until")) {
+        GbSimulation_RunUntil(simulation,
+                              GbScenarioWords_Number(self, 2) * US_PER_MS);
+    }
+    else {
+        GbSimulation_RunUntil(simulation,
+                              simulation->now_us +
+                                  GbScenarioWords_Number(self, 1) * US_PER_MS);
+    }
+}
+
+static const struct Verb verbs[] = {
+    {"seed", 1, do_seed},
+    {"start", 2, do_start},
+    {"stop", 1, do_stop},
+    {"kill", 1, do_kill},
+    {"restart", 1, do_restart},
+    {"pause", 1, do_pause},
+    {"resume", 1, do_resume},
+    {"cut", 2, do_cut},
+    {"heal", 1, do_heal},
+    {"delay", 3, do_delay},
+    {"drop", 2, do_drop},
+    {"duplicate", 2, do_duplicate},
+    {"reorder", 3, do_reorder},
+    {"publish", 2, do_publish},
+    {"platform", 2, do_platform},
+    {"leaving", 1, do_leaving},
+    {"unlist", 1, do_unlist},
+    {"target", 2, do_target},
+    {"clock", 3, do_clock},
+    {"call", 3, do_call},
+    {"download", 2, do_download},
+    {"wait", 1, do_wait},
+    {"expect", 2, GbScenarioExpect_Do},
+};
+
+void
+GbScenario_DoLine(struct GbScenario *self)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(verbs); i++) {
+        if (GbScenarioWords_Is(self, 0, verbs[i].name)) {
+            if (self->word_count <= verbs[i].words_min) {
+                GbScenario_Fail(self, "%s needs %u words", verbs[i].name,
+                                verbs[i].words_min);
+                return;
+            }
+            verbs[i].run(self);
+            return;
+        }
+    }
+    GbScenario_Fail(self, "no verb %s", GbScenarioWords_At(self, 0));
+}
--- /dev/null
+++ b/tests/support/sim_process.c
@@ -0,0 +1,451 @@
+#include "support/sim_process.h"
+
+#include <string.h>
+
+#include "support/sim_io.h"
+#include "support/simulation.h"
+
+#define POLL_US INT64_C(200000)
+#define DRAIN_CHECK_US INT64_C(50000)
+/* Time without datagrams after which a balancer that is stopped exits. */
+#define QUIET_US INT64_C(500000)
+/* Time until the fabric sends to a balancer no more after it said that it is
+ * not ready. */
+#define UNREADY_US INT64_C(100000)
+#define PEERS_ASKED 3
+#define CLOCK_OFFSET_MAX 1000000000
+
+#define OF_MEMBER(pointer, member)                                            \
+    ((struct GbSimProcess *)((char *)(pointer)-offsetof(struct GbSimProcess,  \
+                                                        member)))
+
+static void
+heard_revision(struct GbRevisionListener *listener,
+               const struct GbAddress *from, const struct GbRevision *revision)
+{
+    struct GbSimProcess *self = OF_MEMBER(listener, revisions);
+    struct GbSimulation *simulation = self->simulation;
+    struct GbSimProcess *peer =
+        (struct GbSimProcess *)GbSimNetwork_Find(&simulation->network, from);
+    struct GbRevision own =
+        GbDocument_Revision(GbSimFeed_Accepted(&self->feed));
+
+    if (GbRevision_Compare(revision, &own) > 0 && peer != NULL &&
+        peer->state == GB_SIM_RUNNING &&
+        !GbSimNetwork_IsCut(&simulation->network, self->node.name,
+                            peer->node.name)) {
+        GbSimFeed_Offer(&self->feed, GbSimFeed_Accepted(&peer->feed),
+                        GB_SOURCE_PEER);
+        self->poll_us = simulation->now_us;
+    }
+}
+
+static const struct GbRevisionListenerClass revisions_class = {
+    .heard = heard_revision,
+};
+
+static void
+poll_feed(struct GbSimProcess *self)
+{
+    struct GbSimulation *simulation = self->simulation;
+    struct GbDocument *before = GbSimFeed_InForce(&self->feed);
+    struct GbView *view;
+
+    if (before != NULL) {
+        GbDocument_Ref(before);
+    }
+    view = GbSimFeed_Poll(&self->feed, &simulation->platform);
+    if (view != NULL && GbDocument_Compare(view->document, before) < 0) {
+        GbSimulation_Violate(simulation, "%s went back to revision %u",
+                             self->node.name,
+                             (unsigned)view->document->revision);
+    }
+    if (view != NULL && GbDocument_Compare(view->document, before) != 0) {
+        GbSimulation_Trace(simulation, "%s in force revision=%u variant=%u",
+                           self->node.name, (unsigned)view->document->revision,
+                           view->document->digest[3]);
+    }
+    GbDocument_Unref(before);
+    if (view == NULL) {
+        return;
+    }
+    if (self->role == GB_SIM_BALANCER) {
+        GbBalancer_SetView(&self->balancer.core, view);
+    }
+    else {
+        const struct GbInstance *own = GbInstanceList_Find(
+            view->list, GbInstance_IdOfName(self->node.name));
+
+        if (own != NULL && own->is_leaving) {
+            self->agent.drain_us =
+                MIN(self->agent.drain_us, simulation->now_us);
+            GbAgent_Drain(&self->agent.core);
+        }
+        GbAgent_SetView(&self->agent.core, view);
+    }
+}
+
+/* A process that starts asks some peers before the platform. */
+static void
+ask_peers(struct GbSimProcess *self)
+{
+    struct GbSimulation *simulation = self->simulation;
+    uint32_t asked = 0;
+
+    for (guint i = 0; i < simulation->processes->len && asked < PEERS_ASKED;
+         i++) {
+        struct GbSimProcess *peer = simulation->processes->pdata[i];
+
+        if (peer != self && peer->role != GB_SIM_CALLER &&
+            peer->state == GB_SIM_RUNNING &&
+            !GbSimNetwork_IsCut(&simulation->network, self->node.name,
+                                peer->node.name) &&
+            !GbSimNetwork_IsCut(&simulation->network, peer->node.name,
+                                self->node.name)) {
+            GbSimFeed_Offer(&self->feed, GbSimFeed_Accepted(&peer->feed),
+                            GB_SOURCE_PEER);
+            asked++;
+        }
+    }
+}
+
+static void
+start_balancer(struct GbSimProcess *self)
+{
+    struct GbSimBalancer *balancer = &self->balancer;
+
+    balancer->stop_us = GB_SIM_NEVER;
+    balancer->last_datagram_us = self->simulation->now_us;
+    GbBalancer_Init(&balancer->core, &self->clock.super, &self->counters);
+    GbBalancerWire_Init(&balancer->wire, &balancer->core,
+                        &self->simulation->keys, &self->datagrams,
+                        &self->revisions, &self->counters);
+}
+
+static void
+start_agent(struct GbSimProcess *self)
+{
+    struct GbSimAgent *agent = &self->agent;
+    struct GbAgentConfig config = {0};
+
+    config.instance_id = GbInstance_IdOfName(self->node.name);
+    config.incarnation = GbRandom_Next(&self->random.super);
+    g_strlcpy(config.service, agent->service, sizeof(config.service));
+    config.address = self->node.address;
+    agent->drain_us = GB_SIM_NEVER;
+    GbAgentWire_Init(&agent->wire, &agent->core, &self->simulation->keys,
+                     &self->datagrams, &agent->target_port, &self->revisions,
+                     &self->counters);
+    GbAgent_Init(&agent->core, &config, &agent->wire.super, &self->clock.super,
+                 &self->random.super, &self->counters);
+}
+
+static void
+add_balancers(struct GbSimProcess *self)
+{
+    struct GbSimulation *simulation = self->simulation;
+
+    self->caller.wire.balancer_count = 0;
+    for (guint i = 0; i < simulation->processes->len; i++) {
+        const struct GbSimProcess *other = simulation->processes->pdata[i];
+
+        if (other->role == GB_SIM_BALANCER && other->state != GB_SIM_STOPPED &&
+            (other->balancer.stop_us == GB_SIM_NEVER ||
+             simulation->now_us < other->balancer.stop_us + UNREADY_US)) {
+            GbCallerWire_AddBalancer(&self->caller.wire, &other->node.address);
+        }
+    }
+}
+
+static void
+start_caller(struct GbSimProcess *self)
+{
+    struct GbSimCaller *caller = &self->caller;
+
+    caller->sessions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    GbCallerWire_Init(&caller->wire, &caller->core, &self->datagrams,
+                      &caller->results, &self->random.super);
+    GbCaller_Init(&caller->core, &caller->service, &caller->wire.super,
+                  &self->clock.super, &self->random.super);
+}
+
+struct GbSimProcess *
+GbSimProcess_New(struct GbSimulation *simulation, enum GbSimRole role,
+                 const char *name, const struct GbAddress *address,
+                 const char *service)
+{
+    struct GbSimProcess *self = g_new0(struct GbSimProcess, 1);
+    const struct GbService *found;
+
+    g_strlcpy(self->node.name, name, sizeof(self->node.name));
+    self->node.address = *address;
+    self->simulation = simulation;
+    self->role = role;
+    self->clock_offset_us =
+        GbRandom_Below(&simulation->random.super, CLOCK_OFFSET_MAX);
+    GbManualClock_Init(&self->clock, 0, 0);
+    GbSeededRandom_Init(&self->random,
+                        GbRandom_Next(&simulation->random.super));
+    self->revisions.klass = &revisions_class;
+    GbSimIo_Init(self);
+    if (role == GB_SIM_AGENT) {
+        struct GbSimTarget *target = &self->agent.target;
+
+        g_strlcpy(self->agent.service, service, sizeof(self->agent.service));
+        GbSimTarget_Init(target, &simulation->events,
+                         &self->agent.target_events, &simulation->now_us,
+                         &simulation->last_answer_seed);
+        g_strlcpy(target->instance, name, sizeof(target->instance));
+        g_strlcpy(target->service, service, sizeof(target->service));
+    }
+    else if (role == GB_SIM_CALLER) {
+        found =
+            GbDocument_ServiceByName(simulation->platform.document, service);
+        g_assert_nonnull(found);
+        self->caller.service = *found;
+        self->caller.service.operations =
+            g_memdup2(found->operations,
+                      found->operation_count * sizeof(*found->operations));
+    }
+    return self;
+}
+
+void
+GbSimProcess_Free(struct GbSimProcess *self)
+{
+    GbSimProcess_Kill(self);
+    GbSimFeed_Finish(&self->feed);
+    if (self->role == GB_SIM_AGENT) {
+        GbSimTarget_Finish(&self->agent.target);
+    }
+    else if (self->role == GB_SIM_CALLER) {
+        g_free(self->caller.service.operations);
+    }
+    g_free(self);
+}
+
+void
+GbSimProcess_Start(struct GbSimProcess *self)
+{
+    if (self->state != GB_SIM_STOPPED || self->has_core) {
+        return;
+    }
+    GbSimulation_Trace(self->simulation, "start %s", self->node.name);
+    self->state = GB_SIM_RUNNING;
+    self->has_core = true;
+    GbCounters_Init(&self->counters);
+    GbSimIo_SetClock(self);
+    GbSimFeed_Open(&self->feed, &self->clock.super, &self->counters);
+    switch (self->role) {
+    case GB_SIM_BALANCER:
+        start_balancer(self);
+        break;
+    case GB_SIM_AGENT:
+        start_agent(self);
+        break;
+    case GB_SIM_CALLER:
+        start_caller(self);
+        self->poll_us = GB_SIM_NEVER;
+        return;
+    }
+    ask_peers(self);
+    self->poll_us = self->simulation->now_us;
+}
+
+void
+GbSimProcess_FinishCore(struct GbSimProcess *self)
+{
+    struct GbSimCaller *caller = &self->caller;
+
+    if (!self->has_core) {
+        return;
+    }
+    self->has_core = false;
+    switch (self->role) {
+    case GB_SIM_BALANCER:
+        GbBalancer_Finish(&self->balancer.core);
+        break;
+    case GB_SIM_AGENT:
+        GbAgent_Finish(&self->agent.core);
+        break;
+    case GB_SIM_CALLER:
+        GbCaller_Finish(&caller->core);
+        g_hash_table_destroy(caller->sessions);
+        break;
+    }
+}
+
+void
+GbSimProcess_Kill(struct GbSimProcess *self)
+{
+    struct GbSimulation *simulation = self->simulation;
+
+    if (self->state == GB_SIM_STOPPED) {
+        return;
+    }
+    GbSimulation_Trace(simulation, "kill %s", self->node.name);
+    self->state = GB_SIM_STOPPED;
+    GbSimIo_Clear(self);
+    GbSimFeed_Close(&self->feed);
+    if (self->role == GB_SIM_AGENT) {
+        GbSimTarget_DropAll(&self->agent.target, false);
+    }
+    for (guint i = 0; i < simulation->calls->len; i++) {
+        struct GbSimCall *call = simulation->calls->pdata[i];
+
+        if (call->caller == self && call->deliveries == 0) {
+            call->is_abandoned = true;
+        }
+    }
+    if (self->depth == 0) {
+        GbSimProcess_FinishCore(self);
+    }
+}
+
+void
+GbSimProcess_Pause(struct GbSimProcess *self)
+{
+    if (self->state == GB_SIM_RUNNING) {
+        GbSimulation_Trace(self->simulation, "pause %s", self->node.name);
+        self->state = GB_SIM_PAUSED;
+    }
+}
+
+void
+GbSimProcess_Resume(struct GbSimProcess *self)
+{
+    if (self->state != GB_SIM_PAUSED) {
+        return;
+    }
+    GbSimulation_Trace(self->simulation, "resume %s", self->node.name);
+    self->state = GB_SIM_RUNNING;
+    GbSimIo_FlushOutbox(self);
+    /* An event loop may run timers or sockets first. */
+    if (GbRandom_Below(&self->simulation->random.super, 2) == 0) {
+        GbSimProcess_Tick(self);
+    }
+    GbSimIo_Enter(self);
+    GbSimIo_Leave(self);
+}
+
+void
+GbSimProcess_Stop(struct GbSimProcess *self)
+{
+    struct GbSimulation *simulation = self->simulation;
+
+    if (self->state == GB_SIM_STOPPED) {
+        return;
+    }
+    GbSimulation_Trace(simulation, "stop %s", self->node.name);
+    if (self->role == GB_SIM_BALANCER) {
+        self->balancer.stop_us =
+            MIN(self->balancer.stop_us, simulation->now_us);
+    }
+    else if (self->role == GB_SIM_AGENT) {
+        self->agent.drain_us = MIN(self->agent.drain_us, simulation->now_us);
+        GbSimIo_SetClock(self);
+        GbAgent_Drain(&self->agent.core);
+    }
+    else {
+        GbSimProcess_Kill(self);
+    }
+}
+
+int64_t
+GbSimProcess_NextUs(struct GbSimProcess *self)
+{
+    int64_t next_us = GB_TIMER_NEVER;
+
+    if (!GbSimIo_IsRunnable(self)) {
+        return GB_SIM_NEVER;
+    }
+    switch (self->role) {
+    case GB_SIM_BALANCER:
+        if (self->balancer.stop_us != GB_SIM_NEVER) {
+            return MIN(self->poll_us, MAX(self->balancer.stop_us + UNREADY_US,
+                                          self->balancer.last_datagram_us) +
+                                          QUIET_US);
+        }
+        return self->poll_us;
+    case GB_SIM_AGENT:
+        next_us = GbAgent_NextTimerUs(&self->agent.core);
+        break;
+    case GB_SIM_CALLER:
+        next_us = GbCaller_NextTimerUs(&self->caller.core);
+        break;
+    }
+    if (next_us != GB_TIMER_NEVER) {
+        next_us -= self->clock_offset_us;
+    }
+    return MIN(next_us, self->poll_us);
+}
+
+void
+GbSimProcess_Tick(struct GbSimProcess *self)
+{
+    int64_t now_us = self->simulation->now_us;
+
+    if (!GbSimIo_IsRunnable(self)) {
+        return;
+    }
+    GbSimIo_Enter(self);
+    if (now_us >= self->poll_us) {
+        self->poll_us = now_us + POLL_US;
+        poll_feed(self);
+    }
+    switch (self->role) {
+    case GB_SIM_BALANCER:
+        if (self->balancer.stop_us != GB_SIM_NEVER &&
+            now_us >= MAX(self->balancer.stop_us + UNREADY_US,
+                          self->balancer.last_datagram_us) +
+                          QUIET_US) {
+            GbSimProcess_Kill(self);
+        }
+        break;
+    case GB_SIM_AGENT:
+        GbAgent_Tick(&self->agent.core);
+        if (self->agent.drain_us != GB_SIM_NEVER) {
+            self->poll_us = MIN(self->poll_us, now_us + DRAIN_CHECK_US);
+            if (self->state == GB_SIM_RUNNING &&
+                GbAgent_IsDrained(&self->agent.core)) {
+                GbSimulation_Unlist(self->simulation, self->node.name);
+                GbSimProcess_Kill(self);
+            }
+        }
+        break;
+    case GB_SIM_CALLER:
+        add_balancers(self);
+        GbCaller_Tick(&self->caller.core);
+        break;
+    }
+    GbSimIo_Leave(self);
+}
+
+bool
+GbSimProcess_Call(struct GbSimProcess *self, const char *session,
+                  const char *operation, const char *body, void *context)
+{
+    struct GbSimCaller *caller = &self->caller;
+    struct GbBytes bytes = {(const uint8_t *)body, (uint32_t)strlen(body)};
+    struct GbCallerFlow *flow;
+    bool is_started;
+
+    if (!GbSimIo_IsRunnable(self)) {
+        return false;
+    }
+    GbSimIo_Enter(self);
+    add_balancers(self);
+    flow = g_hash_table_lookup(caller->sessions, session);
+    if (flow == NULL) {
+        flow = g_new0(struct GbCallerFlow, 1);
+        GbCaller_OpenFlow(&caller->core, flow);
+        g_hash_table_insert(caller->sessions, g_strdup(session), flow);
+    }
+    is_started =
+        GbCaller_Call(&caller->core, flow,
+                      GbService_OperationByName(&caller->service, operation),
+                      bytes, context);
+    GbSimIo_Leave(self);
+    return is_started;
+}
--- a/tests/test_document_processes.c
+++ b/tests/test_document_processes.c
@@ -16,11 +16,12 @@
 #define BODY_BYTES 65536
 #define POLL_US 20000
 #define START_LIMIT_US INT64_C(10000000)
-#define PLATFORM GB_BUILD_DIR "/platform-standin"
-#define BALANCER GB_BUILD_DIR "/guavabend-balancer"
 #define KEY "000102030405060708090a0b0c0d0e0f"
 #define OTHER_KEY "ffffffffffffffffffffffffffffffff"
 
+static gchar platform_program[] = GB_BUILD_DIR "/platform-standin";
+static gchar balancer_program[] = GB_BUILD_DIR "/guavabend-balancer";
+
 /* Platform stand-in and balancers as separate processes on loopback. */
 struct Fleet {
     char folder[TEXT_BYTES];
@@ -156,12 +157,8 @@
 static void
 start_platform(struct Fleet *fleet)
 {
-    gchar *arguments[] = {GB_BUILD_DIR "/platform-standin",
-                          "--document",
-                          fleet->document,
-                          "--instances",
-                          fleet->list,
-                          NULL};
+    gchar *arguments[] = {platform_program, "--document", fleet->document,
+                          "--instances",    fleet->list,  NULL};
     char line[TEXT_BYTES];
 
     read_line_with(spawn(fleet, arguments, false), "port=", line);
@@ -175,10 +172,20 @@
     uint32_t index = fleet->balancers++;
     char name[TEXT_BYTES];
     char platform[GB_ADDRESS_TEXT_BYTES];
-    gchar *arguments[] = {BALANCER, "--instance", name,     "--data-centre",
-                          "dc",     "--platform", platform, "--key",
-                          key,      "--tasks",    "1",      "--quiet-ms",
-                          "0",      NULL};
+    gchar *arguments[] = {balancer_program,
+                          "--instance",
+                          name,
+                          "--data-centre",
+                          "dc",
+                          "--platform",
+                          platform,
+                          "--key",
+                          key,
+                          "--tasks",
+                          "1",
+                          "--quiet-ms",
+                          "0",
+                          NULL};
     char line[TEXT_BYTES];
 
     g_snprintf(name, sizeof(name), "b%u", index);
