--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -39,19 +39,21 @@
 static enum GbTransportStatus
 open_tasks(struct Balancer *self, const struct Settings *settings)
 {
-    struct GbDaemon *daemon = &self->daemon;
     struct GbBalancerTaskConfig config = {0};
-    enum GbTransportStatus status = GbDaemon_OpenControl(
-        daemon, settings->quiet_ms * US_PER_MS, &config.listen);
+    enum GbTransportStatus status;
 
-    config.keys = &daemon->keys;
-    config.control = &daemon->control.super;
+    GbDaemon_InitControl(&self->daemon, settings->quiet_ms * US_PER_MS);
+    status = GbDaemon_OpenControl(&self->daemon);
+    config.listen = self->daemon.listen;
+    config.keys = &self->daemon.keys;
+    config.control = &self->daemon.control.super;
     for (uint32_t i = 0; status == GB_TRANSPORT_OK && i < settings->tasks;
          i++) {
         config.index = i;
-        GbBalancerTask_Init(&self->data[i], &config, &daemon->clock.super);
-        GbDaemon_AddTask(daemon, &self->data[i].super, true);
-        status = GbDaemon_OpenTasks(daemon);
+        GbBalancerTask_Init(&self->data[i], &config,
+                            &self->daemon.clock.super);
+        GbDaemon_AddTask(&self->daemon, &self->data[i].super, true);
+        status = GbDaemon_OpenTasks(&self->daemon);
         for (uint32_t j = 0; j < i; j++) {
             GbBalancerTask_Connect(&self->data[j], &self->data[i]);
         }
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -80,16 +80,16 @@
         GbBalancer_SetView(&self->balancer,
                            GbView_Ref(((struct GbViewMail *)mail)->view));
     }
-    else if (mail->klass == &GbAnsweredByMail_Class) {
-        GbBalancer_HeardByOther(
-            &self->balancer, ((struct GbAnsweredByMail *)mail)->instance_id);
-    }
     else if (mail->klass == &GbAnnounceMail_Class) {
         const struct GbAnnounceMail *announce = (struct GbAnnounceMail *)mail;
 
         GbRevisionWire_Send(&self->udp.super, &announce->to,
                             &announce->revision);
     }
+    else if (mail->klass == &GbAnsweredByMail_Class) {
+        GbBalancer_HeardByOther(
+            &self->balancer, ((struct GbAnsweredByMail *)mail)->instance_id);
+    }
 }
 
 static int64_t
--- a/src/transport/daemon.c
+++ b/src/transport/daemon.c
@@ -47,12 +47,6 @@
     return status;
 }
 
-static void
-log_failed_start(const struct GbLastMessage *last)
-{
-    GbLog_Event(GB_LOG_ERROR, "start_failed", "reason=\"%s\"", last->text);
-}
-
 enum GbTransportStatus
 GbDaemon_Init(struct GbDaemon *self, const struct GbDaemonProgram *program,
               int argc, char **argv, void *values)
@@ -81,13 +75,10 @@
     return GB_TRANSPORT_OK;
 }
 
-enum GbTransportStatus
-GbDaemon_OpenControl(struct GbDaemon *self, int64_t quiet_us,
-                     struct GbAddress *listen)
+void
+GbDaemon_InitControl(struct GbDaemon *self, int64_t quiet_us)
 {
     struct GbControlTaskConfig config = {.role = self->program->role};
-    struct GbLastMessage last;
-    enum GbTransportStatus status;
 
     g_strlcpy(config.instance_name, self->settings->instance, GB_NAME_BYTES);
     config.platform = self->settings->platform;
@@ -96,16 +87,23 @@
     config.done = self->done;
     GbControlTask_Init(&self->control, &config, &self->clock.super);
     GbDaemon_AddTask(self, &self->control.super, false);
-    status = GbDaemon_OpenTasks(self);
-    if (status != GB_TRANSPORT_OK) {
-        return status;
+}
+
+enum GbTransportStatus
+GbDaemon_OpenControl(struct GbDaemon *self)
+{
+    struct GbLastMessage last;
+
+    if (GbDaemon_OpenTasks(self) != GB_TRANSPORT_OK) {
+        return GB_TRANSPORT_SYSTEM;
     }
-    *listen = self->settings->listen;
-    status = GbControlTask_Listen(&self->control, listen, &self->keys, &last);
-    if (status != GB_TRANSPORT_OK) {
-        log_failed_start(&last);
+    self->listen = self->settings->listen;
+    if (GbControlTask_Listen(&self->control, &self->listen, &self->keys,
+                             &last) != GB_TRANSPORT_OK) {
+        GbLog_Event(GB_LOG_ERROR, "start_failed", "reason=\"%s\"", last.text);
+        return GB_TRANSPORT_SYSTEM;
     }
-    return status;
+    return GB_TRANSPORT_OK;
 }
 
 void
@@ -127,7 +125,8 @@
         struct GbTask *task = self->tasks[self->open_count++];
 
         if (GbTask_Open(task, &last) != GB_TRANSPORT_OK) {
-            log_failed_start(&last);
+            GbLog_Event(GB_LOG_ERROR, "start_failed", "reason=\"%s\"",
+                        last.text);
             return GB_TRANSPORT_SYSTEM;
         }
     }
@@ -144,7 +143,8 @@
 
     for (uint32_t i = 0; i < self->task_count; i++) {
         if (GbTask_Start(self->tasks[i], &last) != GB_TRANSPORT_OK) {
-            log_failed_start(&last);
+            GbLog_Event(GB_LOG_ERROR, "start_failed", "reason=\"%s\"",
+                        last.text);
             return GB_EXIT_FAILED;
         }
     }
--- a/src/transport/daemon.h
+++ b/src/transport/daemon.h
@@ -42,6 +42,8 @@
     /* Opened so far. */
     uint32_t open_count;
     GAsyncQueue *done;
+    /* Address of the TCP and the UDP sockets, with the port that was bound. */
+    struct GbAddress listen;
 };
 
 /* Reads the settings into values, whose first member is a struct
@@ -53,14 +55,15 @@
                                      const struct GbDaemonProgram *program,
                                      int argc, char **argv, void *values);
 
-/* Opens the control task, which becomes the first task, and its TCP socket.
- * *listen is the address that the UDP sockets must be bound to. quiet_us
- * counts for balancers only.
+/* Prepares the control task, which becomes the first task. quiet_us counts
+ * for balancers only. */
+void GbDaemon_InitControl(struct GbDaemon *self, int64_t quiet_us);
+
+/* Opens the control task and its TCP socket for other processes. Data tasks
+ * bind self->listen afterwards.
  *
  * Errors: GB_TRANSPORT_SYSTEM, which is logged. */
-enum GbTransportStatus GbDaemon_OpenControl(struct GbDaemon *self,
-                                            int64_t quiet_us,
-                                            struct GbAddress *listen);
+enum GbTransportStatus GbDaemon_OpenControl(struct GbDaemon *self);
 
 /* Adds a task. A data task gets views and reports to the control task. */
 void GbDaemon_AddTask(struct GbDaemon *self, struct GbTask *task,
--- a/tests/test_document_processes.c
+++ b/tests/test_document_processes.c
@@ -19,6 +19,9 @@
 #define KEY "000102030405060708090a0b0c0d0e0f"
 #define OTHER_KEY "ffffffffffffffffffffffffffffffff"
 
+static gchar platform_program[] = GB_BUILD_DIR "/platform-standin";
+static gchar balancer_program[] = GB_BUILD_DIR "/guavabend-balancer";
+
 /* Platform stand-in and balancers as separate processes on loopback. */
 struct Fleet {
     char folder[TEXT_BYTES];
@@ -154,12 +157,8 @@
 static void
 start_platform(struct Fleet *fleet)
 {
-    gchar *arguments[] = {GB_BUILD_DIR "/platform-standin",
-                          "--document",
-                          fleet->document,
-                          "--instances",
-                          fleet->list,
-                          NULL};
+    gchar *arguments[] = {platform_program, "--document", fleet->document,
+                          "--instances",    fleet->list,  NULL};
     char line[TEXT_BYTES];
 
     read_line_with(spawn(fleet, arguments, false), "port=", line);
@@ -173,7 +172,7 @@
     uint32_t index = fleet->balancers++;
     char name[TEXT_BYTES];
     char platform[GB_ADDRESS_TEXT_BYTES];
-    gchar *arguments[] = {GB_BUILD_DIR "/guavabend-balancer",
+    gchar *arguments[] = {balancer_program,
                           "--instance",
                           name,
                           "--data-centre",
