--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -403,6 +403,13 @@
 {
     char *expected = g_strdup_printf("check %s", key);
 
+    if (outcome->result.outcome == GB_OUTCOME_ANSWERED && runs != 1) {
+        g_test_message("%s answered %u \"%.*s\" after %u submissions, %u runs",
+                       key, outcome->result.target_status,
+                       (int)outcome->result.answer.size_bytes,
+                       (const char *)outcome->result.answer.data,
+                       outcome->result.submissions, runs);
+    }
     g_assert_cmpuint(runs, <=, 1);
     if (outcome->result.outcome == GB_OUTCOME_NOT_RUN) {
         g_assert_cmpuint(runs, ==, 0);
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -14,7 +14,7 @@
 
 struct ViewCase {
     const char *name;
-    uint32_t count;
+    uint64_t count;
     struct Entry entries[INSTANCES_MAX];
     /* Candidates of each service. */
     uint32_t expected[SERVICES];
@@ -59,7 +59,7 @@
         document->services[i].id = SERVICES - i;
         g_strlcpy(document->services[i].name, service_names[i], GB_NAME_BYTES);
     }
-    list->count = row->count;
+    list->count = (uint32_t)row->count;
     list->instances = g_new0(struct GbInstance, INSTANCES_MAX);
     for (uint32_t i = 0; i < row->count; i++) {
         list->instances[i].role = row->entries[i].role;
