Do not sort an empty list of peers

qsort of a null pointer is undefined: a first instance list without entries ended a process that was built with UBSan.

--- a/src/coordination/peer_choice.c
+++ b/src/coordination/peer_choice.c
@@ -87,8 +87,10 @@
             self->addresses[self->count++] = list->instances[i].address;
         }
     }
-    qsort(self->addresses, self->count, sizeof(*self->addresses),
-          compare_address);
+    if (self->count > 0) {
+        qsort(self->addresses, self->count, sizeof(*self->addresses),
+              compare_address);
+    }
 }
 
 bool
