Give each test environment a key and request bodies of its own

All test runs used one fleet key and the bodies check-1, check-2 and so on. A caller of another run goes on sending to the port of a balancer that was killed; when a balancer of this run is given that port, it serves the request, and the target's log then shows the body twice.

Change: a random id for each environment, in its key and in the bodies.

Result: the check is as strict for the run's own requests.

--- a/tests/support/environment.c
+++ b/tests/support/environment.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "protocol/document_json.h"
+#include "state/random.h"
 #include "support/http_get.h"
 
 #define START_TIMEOUT_MS 10000
@@ -13,7 +14,7 @@
 #define NUMBER_BASE 10
 #define HTTP_OK 200
 #define LOOPBACK 0x7f000001U
-#define KEY "000102030405060708090a0b0c0d0e0f"
+#define KEY_HEX_BYTES 33
 #define DATA_CENTRE "dc1"
 
 static const char no_parent[] = "00000000000000000000000000000000";
@@ -60,11 +61,14 @@
              struct Arguments *arguments)
 {
     char *platform = g_strdup_printf("127.0.0.1:%u", self->platform_port);
+    char key[KEY_HEX_BYTES];
 
+    g_snprintf(key, sizeof(key), "%016" PRIx64 "%016" PRIx64, self->id,
+               ~self->id);
     add(arguments, "--instance", name);
     add(arguments, "--data-centre", DATA_CENTRE);
     add(arguments, "--platform", platform);
-    add(arguments, "--key", KEY);
+    add(arguments, "--key", key);
     member->process =
         GbProcessGroup_Start(&self->group, name, program, arguments->items);
     member->address.ipv4 = LOOPBACK;
@@ -165,7 +169,11 @@
 GbEnvironment_Start(struct GbEnvironment *self,
                     const struct GbEnvironmentConfig *config)
 {
+    struct GbSystemRandom random;
+
     memset(self, 0, sizeof(*self));
+    GbSystemRandom_Init(&random);
+    self->id = GbRandom_Next(&random.super);
     self->config = config;
     GbProcessGroup_Init(&self->group, config->build_dir);
     self->document_path = GbProcessGroup_Path(&self->group, "document.json");
--- a/tests/support/environment.h
+++ b/tests/support/environment.h
@@ -57,6 +57,11 @@
     char *instances_path;
     uint64_t revision;
     uint64_t instances_version;
+    /* Random. Ports are used again: a caller of another test run may send to
+     * the port of a balancer that has ended, which is now one of this
+     * environment. What names the environment tells its requests from those.
+     */
+    uint64_t id;
 };
 
 /* Starts everything and waits until each balancer and agent is ready. config
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <sodium.h>
 #include <string.h>
@@ -121,9 +122,10 @@
 };
 
 static char *
-key_of(uint64_t tag)
+key_of(const struct Run *run, uint64_t tag)
 {
-    return g_strdup_printf("check-%" G_GUINT64_FORMAT, tag);
+    return g_strdup_printf("check-%016" PRIx64 "-%" PRIu64,
+                           run->environment.id, tag);
 }
 
 static void
@@ -145,7 +147,7 @@
 static void
 call_check(struct Run *run, bool is_in_session)
 {
-    char *key = key_of(++run->last_tag);
+    char *key = key_of(run, ++run->last_tag);
 
     call(run, "check", key, run->last_tag, is_in_session);
     run->open_checks++;
@@ -246,7 +248,7 @@
         while (run->open_checks > 0) {
             take_outcome(run, WAIT_MS);
         }
-        key = key_of(run->last_tag);
+        key = key_of(run, run->last_tag);
         runs = runs_at(host, key);
         g_free(key);
         if (runs > 0) {
@@ -450,7 +452,7 @@
         GbRunLog_Add(&log, run->environment.hosts[i].target);
     }
     for (guint tag = 1; tag < run->outcomes->len; tag++) {
-        char *key = key_of(tag);
+        char *key = key_of(run, tag);
 
         report_outcome(run->outcomes->pdata[tag], key);
         check_check(run->outcomes->pdata[tag], key, GbRunLog_Runs(&log, key));
