Limit the memory of answers that wait for their callers

Cause: answers were limited in number (16,384 records) but not in bytes, so that an agent could hold 1 GB of full windows; its budget is 64 MB.

Change: an agent counts the capacity of all answer windows; at 32 MB it starts no further request and refuses new ones as BUSY. Ruled out: smaller windows, which would slow downloads down at any time instead of only at the limit.

Result: /answer-limit/bytes fails without the check in the admission (the 513th call was accepted) and passes with it.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -76,6 +76,7 @@
     if ((!GbSlots_HasRoom(&agent->slots, operation->work_class) &&
          !GbSlots_MayQueue(&agent->slots, operation->work_class)) ||
         agent->request_count >= REQUESTS_MAX ||
+        agent->answer_bytes >= GB_ANSWERS_BYTES_MAX ||
         (flow != NULL && GbFlow_OpenRequests(flow) >= FLOW_REQUESTS_MAX)) {
         GbCounters_Add(agent->counters, GB_COUNTER_QUEUE_REFUSED, 1);
         return GB_NOT_RUN_BUSY;
--- a/src/coordination/agent.h
+++ b/src/coordination/agent.h
@@ -19,6 +19,11 @@
 /* Time from the issue of a token within which it may make a flow record. */
 #define GB_TOKEN_FIRST_USE_MS 10000
 
+/* Memory for answers that callers have not fetched, half of what an agent may
+ * use. No request is started beyond it, so that it is exceeded by one
+ * window for each slot at most. */
+#define GB_ANSWERS_BYTES_MAX (32 * 1024 * 1024)
+
 /* From this time on, no flow that is new since the leave reaches the target
  * of a leaving agent. */
 #define GB_DRAIN_NEW_FLOW_US INT64_C(2000000)
@@ -70,6 +75,8 @@
     GHashTable *works;
     uint64_t last_work_id;
     uint32_t request_count;
+    /* Capacity of the rings of all answers. */
+    uint64_t answer_bytes;
     struct GbPool pool;
     struct GbHandover handover;
     struct GbRecentCalls recent;
--- a/src/coordination/delivery.c
+++ b/src/coordination/delivery.c
@@ -147,11 +147,26 @@
     request->waiter_count = kept;
 }
 
+static bool
+append(struct GbAgent *agent, struct GbRequest *request, struct GbBytes bytes)
+{
+    uint32_t before_bytes = request->answer.capacity_bytes;
+    bool is_taken = GbAnswer_Append(&request->answer, bytes);
+
+    agent->answer_bytes += request->answer.capacity_bytes - before_bytes;
+    return is_taken;
+}
+
 static void
 acknowledge(struct GbAgent *agent, struct GbRequest *request, uint64_t offset)
 {
+    uint32_t before_bytes = request->answer.capacity_bytes;
     uint32_t dropped = GbAnswer_Acknowledge(&request->answer, offset);
 
+    if (request->answer.capacity_bytes < before_bytes) {
+        agent->answer_bytes -= before_bytes - request->answer.capacity_bytes;
+        GbDelivery_Pump(agent);
+    }
     if (dropped > 0 && request->state == GB_REQUEST_ANSWERING) {
         agent->port->klass->allow(agent->port, request->work_id, dropped);
     }
@@ -166,6 +181,7 @@
     GbReservations_Refresh(&agent->reservations,
                            GbClock_MonotonicUs(agent->clock));
     while (agent->service != NULL &&
+           agent->answer_bytes < GB_ANSWERS_BYTES_MAX &&
            (request = GbSlots_Dequeue(&agent->slots)) != NULL) {
         /* Read for each request: a process that was paused wakes up late. */
         int64_t now_us = GbClock_MonotonicUs(agent->clock);
@@ -282,6 +298,7 @@
 
     GbTimerQueue_Clear(&agent->timers, &request->timer);
     flow->requests = g_slist_remove(flow->requests, request);
+    agent->answer_bytes -= request->answer.capacity_bytes;
     GbRequest_Free(request);
     agent->request_count--;
 }
@@ -314,7 +331,7 @@
     }
     is_first = request->answer.end < GB_RANGE_BYTES;
     if (request->answer.end + bytes.size_bytes > request->max_answer_bytes ||
-        !GbAnswer_Append(&request->answer, bytes)) {
+        !append(self, request, bytes)) {
         cancel_and_fail(self, request, GB_UNKNOWN_TARGET_FAILED);
         return;
     }
--- /dev/null
+++ b/tests/test_answer_limit.c
@@ -0,0 +1,79 @@
+#include <glib.h>
+
+#include "support/agent_fixture.h"
+
+#define SLOTS 4
+#define CALLS 600
+
+static struct AgentFixture fixture;
+
+struct LimitCase {
+    const char *name;
+    uint32_t answer_bytes;
+    bool is_acknowledged;
+    /* Calls that get an answer; the others are refused. */
+    uint32_t answered;
+};
+
+static const struct LimitCase limit_cases[] = {
+    {"small answers", 100, false, CALLS},
+    {"full windows that nobody fetches", GB_ANSWER_WINDOW_BYTES, false,
+     GB_ANSWERS_BYTES_MAX / GB_ANSWER_WINDOW_BYTES},
+    {"full windows that are fetched", GB_ANSWER_WINDOW_BYTES, true, CALLS},
+};
+
+static void
+answer(uint32_t index, uint32_t answer_bytes)
+{
+    static const uint8_t data[GB_ANSWER_WINDOW_BYTES];
+    uint64_t work_id = fixture.started[index].work_id;
+    struct GbBytes bytes = {data, answer_bytes};
+
+    GbAgent_TargetAnswered(&fixture.agent, work_id, 200);
+    GbAgent_TargetSent(&fixture.agent, work_id, bytes);
+    GbAgent_TargetEnded(&fixture.agent, work_id, GB_TARGET_WHOLE);
+}
+
+/* Guards against answers that are kept for callers without a limit in bytes:
+ * the limit on records alone allows 1 GB. */
+static void
+test_limit(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(limit_cases); i++) {
+        const struct LimitCase *row = &limit_cases[i];
+        struct FixtureSetup setup = {.slots = SLOTS};
+
+        g_test_message("%s", row->name);
+        agent_fixture_init(&fixture, &setup);
+        for (uint32_t flow = 1; flow <= CALLS; flow++) {
+            uint32_t started = fixture.started_count;
+
+            agent_fixture_call(&fixture, flow, 1, FIXTURE_LOOK, NULL);
+            if (fixture.started_count == started) {
+                agent_fixture_assert_not_run(&fixture, 1, GB_NOT_RUN_BUSY);
+                continue;
+            }
+            answer(started, row->answer_bytes);
+            if (row->is_acknowledged) {
+                const struct GbToken token =
+                    agent_fixture_last_reply(&fixture)->token;
+
+                agent_fixture_acknowledge(&fixture, flow, 1, &token);
+                g_assert_cmpuint(fixture.agent.answer_bytes, ==, 0);
+            }
+        }
+        g_assert_cmpuint(fixture.started_count, ==, row->answered);
+        /* All records are dropped in time, and their bytes with them. */
+        agent_fixture_advance(&fixture, INT64_C(31000000));
+        g_assert_cmpuint(fixture.agent.answer_bytes, ==, 0);
+        agent_fixture_finish(&fixture);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/answer-limit/bytes", test_limit);
+    return g_test_run();
+}
