Give the data tasks of both roles one base

Cause: balancer_task and agent_task held the same code for the socket, the report of counters and the revisions of peers; the agent's copy did not count dropped reports. A process that was behind also posted a message for every datagram of a peer that was ahead.

Change: GbDataTask as the first member of both, with what differs in its class table; control is told of one revision once a second.

--- a/src/programs/guavabend_agent_main.c
+++ b/src/programs/guavabend_agent_main.c
@@ -40,24 +40,24 @@
     struct GbDaemon *daemon = &self->daemon;
     struct GbAgentTaskConfig config = {0};
     enum GbTransportStatus status =
-        GbDaemon_OpenControl(daemon, 0, &config.listen);
+        GbDaemon_OpenControl(daemon, 0, &config.data.listen);
 
     if (status != GB_TRANSPORT_OK) {
         return status;
     }
-    GbTargetTask_Init(&self->target, &settings->target, &self->data.super,
-                      &daemon->clock.super);
+    GbTargetTask_Init(&self->target, &settings->target,
+                      &self->data.super.super, &daemon->clock.super);
     config.keys = &daemon->keys;
-    config.control = &daemon->control.super;
+    config.data.control = &daemon->control.super;
     config.target = &self->target;
     config.agent.instance_id = GbInstance_IdOfName(settings->super.instance);
     randombytes_buf(&config.agent.incarnation,
                     sizeof(config.agent.incarnation));
     g_strlcpy(config.agent.service, settings->service, GB_NAME_BYTES);
-    config.agent.address = config.listen;
+    config.agent.address = config.data.listen;
     GbAgentTask_Init(&self->data, &config, &daemon->clock.super);
     GbDaemon_AddTask(daemon, &self->target.super, false);
-    GbDaemon_AddTask(daemon, &self->data.super, true);
+    GbDaemon_AddTask(daemon, &self->data.super.super, true);
     return GbDaemon_OpenTasks(daemon);
 }
 
@@ -75,7 +75,7 @@
         return GbDaemon_ExitCode(status);
     }
     if (open_tasks(&agent, &settings) == GB_TRANSPORT_OK) {
-        listen = GbUdp_Address(&agent.data.udp);
+        listen = GbUdp_Address(&agent.data.super.udp);
         code = GbDaemon_Run(&agent.daemon, &listen);
     }
     GbDaemon_Finish(&agent.daemon);
--- a/src/programs/guavabend_balancer_main.c
+++ b/src/programs/guavabend_balancer_main.c
@@ -39,18 +39,17 @@
 static enum GbTransportStatus
 open_tasks(struct Balancer *self, const struct Settings *settings)
 {
-    struct GbBalancerTaskConfig config = {0};
+    struct GbDataTaskConfig config = {.is_shared = true};
     enum GbTransportStatus status = GbDaemon_OpenControl(
         &self->daemon, settings->quiet_ms * US_PER_MS, &config.listen);
 
-    config.keys = &self->daemon.keys;
     config.control = &self->daemon.control.super;
     for (uint32_t i = 0; status == GB_TRANSPORT_OK && i < settings->tasks;
          i++) {
         config.index = i;
-        GbBalancerTask_Init(&self->data[i], &config,
+        GbBalancerTask_Init(&self->data[i], &config, &self->daemon.keys,
                             &self->daemon.clock.super);
-        GbDaemon_AddTask(&self->daemon, &self->data[i].super, true);
+        GbDaemon_AddTask(&self->daemon, &self->data[i].super.super, true);
         status = GbDaemon_OpenTasks(&self->daemon);
         for (uint32_t j = 0; j < i; j++) {
             GbBalancerTask_Connect(&self->data[j], &self->data[i]);
@@ -73,7 +72,7 @@
         return GbDaemon_ExitCode(status);
     }
     if (open_tasks(&balancer, &settings) == GB_TRANSPORT_OK) {
-        listen = GbUdp_Address(&balancer.data[0].udp);
+        listen = GbUdp_Address(&balancer.data[0].super.udp);
         code = GbDaemon_Run(&balancer.daemon, &listen);
     }
     GbDaemon_Finish(&balancer.daemon);
--- a/src/transport/agent_task.h
+++ b/src/transport/agent_task.h
@@ -2,33 +2,26 @@
 #define GB_TRANSPORT_AGENT_TASK_H
 
 #include "protocol/agent_wire.h"
+#include "transport/data_task.h"
 #include "transport/target_task.h"
-#include "transport/task.h"
-#include "transport/udp.h"
 
 struct GbAgentTaskConfig {
-    struct GbAddress listen;
-    const struct GbKeys *keys;
+    struct GbDataTaskConfig data;
     struct GbAgentConfig agent;
     /* Must outlive the task. */
-    struct GbTask *control;
+    const struct GbKeys *keys;
     struct GbTargetTask *target;
 };
 
 /* Data task of an agent: its socket, and the decisions about its flows,
  * slots and pool. */
 struct GbAgentTask {
-    struct GbTask super;
-    struct GbUdpListener listener;
-    struct GbRevisionListener revisions;
+    struct GbDataTask super;
     struct GbTargetPort target_port;
-    struct GbAgentTaskConfig config;
-    struct GbCounters counters;
+    struct GbTargetTask *target;
     struct GbSystemRandom random;
     struct GbAgent agent;
     struct GbAgentWire wire;
-    struct GbUdp udp;
-    int64_t report_us;
 };
 
 /* Prepares the task for GbTask_Open. */
--- a/src/transport/balancer_task.c
+++ b/src/transport/balancer_task.c
@@ -3,58 +3,42 @@
 #include <assert.h>
 #include <stddef.h>
 
-#include "protocol/revision_wire.h"
 #include "transport/mails.h"
 
 #define MAILBOX_LIMIT 256
-#define REPORT_PERIOD_US INT64_C(1000000)
-
-#define OF_MEMBER(pointer, member)                                            \
-    ((struct GbBalancerTask *)((char *)(pointer)-offsetof(                    \
-        struct GbBalancerTask, member)))
 
 static void
-received(struct GbUdpListener *listener, const struct GbAddress *from,
-         const uint8_t *data, size_t size_bytes)
+task_received(struct GbDataTask *task, const struct GbAddress *from,
+              const uint8_t *data, size_t size_bytes)
 {
-    struct GbBalancerTask *self = OF_MEMBER(listener, listener);
+    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
 
     GbBalancerWire_Receive(&self->wire, from, data, size_bytes);
 }
 
-static void
-offer(struct GbBalancerTask *self, struct GbTask *task, struct GbMail *mail)
+static const struct GbView *
+task_view(struct GbDataTask *task)
 {
-    if (!GbTask_Offer(task, mail)) {
-        GbCounters_Add(&self->counters, GB_COUNTER_MAILBOX_DROPPED, 1);
-    }
+    return ((struct GbBalancerTask *)task)->balancer.view;
 }
 
 static void
-heard_revision(struct GbRevisionListener *listener,
-               const struct GbAddress *from, const struct GbRevision *revision)
+task_fill_report(struct GbDataTask *task, struct GbCountersMail *report)
 {
-    struct GbBalancerTask *self = OF_MEMBER(listener, revisions);
-    const struct GbView *view = self->balancer.view;
-    struct GbRevision own =
-        GbDocument_Revision(view != NULL ? view->document : NULL);
-
-    if (GbRevision_Compare(revision, &own) > 0) {
-        offer(self, self->config.control, GbRevisionMail_New(from, revision));
-    }
+    (void)task;
+    (void)report;
 }
 
-static const struct GbRevisionListenerClass listener_class = {
-    .heard = heard_revision,
-};
-
 static void
 tell_others(struct GbBalancerPort *port, uint64_t instance_id)
 {
-    struct GbBalancerTask *self = OF_MEMBER(port, answers);
+    struct GbBalancerTask *self =
+        (struct GbBalancerTask *)((char *)port -
+                                  offsetof(struct GbBalancerTask, answers));
 
     for (uint32_t i = 0; i < self->other_count; i++) {
-        offer(self, self->others[i], GbAnsweredByMail_New(instance_id));
+        GbDataTask_Offer(&self->super, &self->others[i]->super.super,
+                         GbAnsweredByMail_New(instance_id));
     }
 }
 
@@ -62,15 +46,6 @@
     .answered = tell_others,
 };
 
-static enum GbTransportStatus
-task_open(struct GbTask *task, struct GbLastMessage *last)
-{
-    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
-
-    return GbUdp_Open(&self->udp, &self->config.listen, true, task->base,
-                      &self->listener, &self->counters, last);
-}
-
 static void
 task_receive(struct GbTask *task, struct GbMail *mail)
 {
@@ -84,81 +59,57 @@
         GbBalancer_HeardByOther(
             &self->balancer, ((struct GbAnsweredByMail *)mail)->instance_id);
     }
-    else if (mail->klass == &GbAnnounceMail_Class) {
-        const struct GbAnnounceMail *announce = (struct GbAnnounceMail *)mail;
-
-        GbRevisionWire_Send(&self->udp.super, &announce->to,
-                            &announce->revision);
+    else {
+        GbDataTask_Receive(&self->super, mail);
     }
 }
 
-static int64_t
-task_next_timer_us(struct GbTask *task)
-{
-    return ((struct GbBalancerTask *)task)->report_us;
-}
-
-static void
-task_tick(struct GbTask *task)
-{
-    struct GbBalancerTask *self = (struct GbBalancerTask *)task;
-    struct GbCountersMail *mail =
-        GbCountersMail_New(self->config.index, &self->counters);
-
-    self->report_us = GbClock_MonotonicUs(task->clock) + REPORT_PERIOD_US;
-    offer(self, self->config.control, &mail->super);
-}
-
-static void
-task_flush(struct GbTask *task)
-{
-    GbUdp_Flush(&((struct GbBalancerTask *)task)->udp);
-}
-
 static void
 task_close(struct GbTask *task)
 {
     struct GbBalancerTask *self = (struct GbBalancerTask *)task;
 
-    GbUdp_Close(&self->udp);
+    GbDataTask_Close(&self->super);
     GbBalancer_Finish(&self->balancer);
 }
 
-static const struct GbTaskClass GbBalancerTask_Class = {
-    .name = "data",
-    .open = task_open,
-    .receive = task_receive,
-    .next_timer_us = task_next_timer_us,
-    .tick = task_tick,
-    .flush = task_flush,
-    .close = task_close,
+static const struct GbDataTaskClass GbBalancerTask_Class = {
+    .super =
+        {
+            .name = "data",
+            .open = GbDataTask_Open,
+            .receive = task_receive,
+            .next_timer_us = GbDataTask_NextTimerUs,
+            .tick = GbDataTask_Tick,
+            .flush = GbDataTask_Flush,
+            .close = task_close,
+        },
+    .received = task_received,
+    .view = task_view,
+    .fill_report = task_fill_report,
 };
 
 static void
 add_other(struct GbBalancerTask *self, struct GbBalancerTask *other)
 {
     assert(self->other_count < GB_BALANCER_TASKS_MAX);
-    self->others[self->other_count++] = &other->super;
+    self->others[self->other_count++] = other;
     GbBalancer_SetPort(&self->balancer, &self->answers);
 }
 
 void
 GbBalancerTask_Init(struct GbBalancerTask *self,
-                    const struct GbBalancerTaskConfig *config,
-                    struct GbClock *clock)
+                    const struct GbDataTaskConfig *config,
+                    const struct GbKeys *keys, struct GbClock *clock)
 {
-    GbTask_Init(&self->super, &GbBalancerTask_Class, clock, MAILBOX_LIMIT);
-    self->listener.received = received;
-    self->revisions.klass = &listener_class;
+    GbDataTask_Init(&self->super, &GbBalancerTask_Class, config, clock,
+                    MAILBOX_LIMIT);
     self->answers.klass = &answers_class;
     self->other_count = 0;
-    self->config = *config;
-    self->udp.fd = -1;
-    self->report_us = GbClock_MonotonicUs(clock);
-    GbCounters_Init(&self->counters);
-    GbBalancer_Init(&self->balancer, clock, &self->counters);
-    GbBalancerWire_Init(&self->wire, &self->balancer, config->keys,
-                        &self->udp.super, &self->revisions, &self->counters);
+    GbBalancer_Init(&self->balancer, clock, &self->super.counters);
+    GbBalancerWire_Init(&self->wire, &self->balancer, keys,
+                        &self->super.udp.super, &self->super.revisions,
+                        &self->super.counters);
 }
 
 void
