--- a/src/transport/data_task.c
+++ b/src/transport/data_task.c
@@ -84,9 +84,8 @@
 {
     struct GbDataTask *self = (struct GbDataTask *)task;
 
-    return GbUdp_Open(&self->udp, &self->config.listen,
-                      self->config.is_shared, task->base, &self->listener,
-                      &self->counters, last);
+    return GbUdp_Open(&self->udp, &self->config.listen, self->config.is_shared,
+                      task->base, &self->listener, &self->counters, last);
 }
 
 void
