--- a/src/programs/command_query.c
+++ b/src/programs/command_query.c
@@ -1,16 +1,37 @@
 #include "programs/command_query.h"
 
 #include <event2/event.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "programs/command.h"
 #include "transport/platform_client.h"
+#include "transport/process.h"
+#include "transport/settings.h"
 
 #define HTTP_OK 200
 #define BODY_BYTES_MAX (1024 * 1024)
 /* Calls in progress at once. */
 #define CALLS_MAX 64
 
+struct QuerySettings {
+    char processes[GB_SETTING_TEXT_BYTES];
+    char processes_file[GB_SETTING_TEXT_BYTES];
+    int64_t timeout_ms;
+};
+
+static const struct GbSetting query_table[] = {
+    {"processes", GB_SETTING_TEXT, offsetof(struct QuerySettings, processes),
+     "", 0, 0, "ipv4:port,...", "HTTP addresses of balancers and agents."},
+    {"processes-file", GB_SETTING_TEXT,
+     offsetof(struct QuerySettings, processes_file), "", 0, 0, "file",
+     "File with one such address a line."},
+    {"timeout-ms", GB_SETTING_NUMBER,
+     offsetof(struct QuerySettings, timeout_ms), "2000", 1, 60000, "ms",
+     "Time to wait for answers."},
+};
+
 /* One call in progress. */
 struct Query {
     struct GbPlatformReply super;
@@ -110,6 +131,27 @@
     return is_valid;
 }
 
+GArray *
+GbQuery_Load(const char *program, int argc, char **argv, int64_t *timeout_ms,
+             int *code)
+{
+    struct QuerySettings settings = {0};
+    GArray *answers;
+
+    *code = GbCommand_LoadSettings(query_table, G_N_ELEMENTS(query_table),
+                                   NULL, 0, program, argc, argv, &settings);
+    if (*code != GB_COMMAND_GO_ON) {
+        return NULL;
+    }
+    answers =
+        GbQuery_New(program, settings.processes, settings.processes_file);
+    if (answers == NULL) {
+        *code = GB_EXIT_USAGE;
+    }
+    *timeout_ms = settings.timeout_ms;
+    return answers;
+}
+
 GArray *
 GbQuery_New(const char *program, const char *list, const char *file)
 {
--- a/src/programs/command_query.h
+++ b/src/programs/command_query.h
@@ -19,6 +19,13 @@
     struct GbProcessStatus process;
 };
 
+/* Loads the settings that name processes, for a command that has no others,
+ * and prepares their answers. NULL if the command is to end with *code: after
+ * help, or after a line on standard error. *timeout_ms becomes the time to
+ * wait for answers. */
+GArray *GbQuery_Load(const char *program, int argc, char **argv,
+                     int64_t *timeout_ms, int *code);
+
 /* Answers for a list of addresses such as "127.0.0.1:80,127.0.0.1:81" and for
  * a file with one address a line; either may be empty. NULL, after a line on
  * standard error, if an address is wrong or there is none. */
--- a/src/programs/command_status.c
+++ b/src/programs/command_status.c
@@ -1,6 +1,5 @@
 #include <glib.h>
 #include <inttypes.h>
-#include <stddef.h>
 #include <stdio.h>
 
 #include "programs/command.h"
@@ -8,27 +7,9 @@
 #include "protocol/digest_text.h"
 #include "protocol/time_text.h"
 #include "transport/process.h"
-#include "transport/settings.h"
 
 #define PROGRAM "guavabend status"
 
-struct StatusSettings {
-    char processes[GB_SETTING_TEXT_BYTES];
-    char processes_file[GB_SETTING_TEXT_BYTES];
-    int64_t timeout_ms;
-};
-
-static const struct GbSetting status_table[] = {
-    {"processes", GB_SETTING_TEXT, offsetof(struct StatusSettings, processes),
-     "", 0, 0, "ipv4:port,...", "HTTP addresses of balancers and agents."},
-    {"processes-file", GB_SETTING_TEXT,
-     offsetof(struct StatusSettings, processes_file), "", 0, 0, "file",
-     "File with one such address a line."},
-    {"timeout-ms", GB_SETTING_NUMBER,
-     offsetof(struct StatusSettings, timeout_ms), "2000", 1, 60000, "ms",
-     "Time to wait for answers."},
-};
-
 static const char *
 state_of(const struct GbQueryAnswer *answer,
          const struct GbDocumentHead *newest)
@@ -100,20 +81,14 @@
 int
 GbCommand_Status(int argc, char **argv)
 {
-    struct StatusSettings settings = {0};
-    GArray *answers;
-    int code = GbCommand_LoadSettings(status_table, G_N_ELEMENTS(status_table),
-                                      NULL, 0, PROGRAM, argc, argv, &settings);
+    int64_t timeout_ms;
+    int code;
+    GArray *answers = GbQuery_Load(PROGRAM, argc, argv, &timeout_ms, &code);
 
-    if (code != GB_COMMAND_GO_ON) {
-        return code;
-    }
-    answers =
-        GbQuery_New(PROGRAM, settings.processes, settings.processes_file);
     if (answers == NULL) {
-        return GB_EXIT_USAGE;
+        return code;
     }
-    GbQuery_Status(answers, settings.timeout_ms);
+    GbQuery_Status(answers, timeout_ms);
     code = print_rows(answers) ? GB_EXIT_DONE : GB_EXIT_FAILED;
     GbQuery_Free(answers);
     return code;
--- a/tests/bench/bench_capacity_agent.c
+++ b/tests/bench/bench_capacity_agent.c
@@ -119,7 +119,7 @@
     return GbCodec_Encode(&message, keys, buffer, GB_ENVELOPE_BYTES);
 }
 
-/* One second of ALIVE by the rule: one to and one from each mate. */
+/* One second of ALIVE by the rule: one to and one from each member. */
 static void
 measure_pool(void)
 {
@@ -129,20 +129,20 @@
     struct WireFixture *fixture = g_new0(struct WireFixture, 1);
     uint8_t buffer[GB_ENVELOPE_BYTES];
 
-    slope_init(&messages, "ALIVE sent and received", "a second a mate");
-    slope_init(&bytes, "bytes of them, with IPv4 and UDP", "bytes/s a mate");
+    slope_init(&messages, "ALIVE sent and received", "a second a member");
+    slope_init(&bytes, "bytes of them, with IPv4 and UDP", "bytes/s a member");
     slope_init(&time, "encoding and handling of them, no sockets",
-               "ns/s a mate");
+               "ns/s a member");
     wire_fixture_init(fixture);
     for (size_t i = 0; i < G_N_ELEMENTS(pool_sizes); i++) {
-        uint32_t mates = pool_sizes[i] - 1;
+        uint32_t members = pool_sizes[i] - 1;
         uint32_t size_bytes = 0;
         double best_ns = G_MAXDOUBLE;
 
         for (int run = 0; run < RUNS; run++) {
             int64_t start_ns = load_own_cpu_ns();
 
-            for (uint32_t mate = 0; mate < mates; mate++) {
+            for (uint32_t member = 0; member < members; member++) {
                 size_bytes =
                     member_message(&fixture->keys, GB_MESSAGE_ALIVE, buffer);
                 GbAgentWire_Receive(&fixture->agent_wire, &wire_fixture_from,
@@ -150,9 +150,10 @@
             }
             best_ns = least(best_ns, (double)(load_own_cpu_ns() - start_ns));
         }
-        slope_add(&messages, mates, 2.0 * mates);
-        slope_add(&bytes, mates, 2.0 * mates * (size_bytes + HEADER_BYTES));
-        slope_add(&time, mates, best_ns);
+        slope_add(&messages, members, 2.0 * members);
+        slope_add(&bytes, members,
+                  2.0 * members * (size_bytes + HEADER_BYTES));
+        slope_add(&time, members, best_ns);
     }
     slope_print(&messages);
     slope_print(&bytes);
--- a/tests/bench/bench_policy.c
+++ b/tests/bench/bench_policy.c
@@ -94,12 +94,11 @@
     uint64_t seed = argc > 2 ? (uint64_t)atoi(argv[2]) : SEED;
     size_t only = argc > 1 ? (size_t)atoi(argv[1]) : G_N_ELEMENTS(scenarios);
 
-    printf(
-        "Latencies in ms at the crest, longer requests left out. p99/o: p99 "
-        "over the\nomniscient one. busy, reqs: largest over mean of busy "
-        "time and of requests\nover 10 s. sends, moved, asks: submissions, "
-        "hand-overs and load questions\nper call. Seed %u, %d crests.\n",
-        (unsigned)seed, CYCLES - 1);
+    printf("Latencies in ms at the peak, longer requests left out. p99/o: p99 "
+           "over the\nomniscient one. busy, reqs: largest over mean of busy "
+           "time and of requests\nover 10 s. sends, moved, asks: submissions, "
+           "hand-overs and load questions\nper call. Seed %u, %d crests.\n",
+           (unsigned)seed, CYCLES - 1);
     for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
         if (argc < 2 || i == only) {
             run(&scenarios[i], seed);
--- a/tests/support/policy_simulation.c
+++ b/tests/support/policy_simulation.c
@@ -10,7 +10,7 @@
 #define LONG_FACTOR 50
 #define CREST_LOAD 0.85
 #define SWING 10.0
-/* One cycle of demand: a rise within 2 s, the crest, a fall, a trough. */
+/* One cycle of demand: a rise within 2 s, the peak, a fall, a trough. */
 #define CYCLE_US INT64_C(30000000)
 #define RISE_US INT64_C(2000000)
 #define CREST_US INT64_C(12000000)
@@ -78,7 +78,7 @@
     return phase_us >= RISE_US && phase_us < RISE_US + CREST_US;
 }
 
-/* Demand as a share of the crest. */
+/* Demand as a share of the peak. */
 static double
 demand_at(const struct Simulation *self, int64_t at_us)
 {
--- a/tests/support/policy_simulation.h
+++ b/tests/support/policy_simulation.h
@@ -25,7 +25,7 @@
 
 enum Trouble {
     TROUBLE_NONE,
-    /* One target starts cold at each crest. */
+    /* One target starts cold at each peak. */
     TROUBLE_COLD,
     /* One target works at a tenth of its speed. */
     TROUBLE_SLOW,
@@ -58,7 +58,7 @@
 };
 
 struct PolicyResult {
-    /* Latencies in ms of all but the longer requests at the crest, sorted. */
+    /* Latencies in ms of all but the longer requests at the peak, sorted. */
     GArray *latencies;
     uint64_t calls;
     uint64_t in_time;
--- a/tests/test_task_timer.c
+++ b/tests/test_task_timer.c
@@ -91,8 +91,8 @@
 };
 
 /* Guards against timers that are off by milliseconds: an agent waits 2 ms for
- * the load of its mates. The median leaves out what other work on the machine
- * delays. */
+ * the load of its members. The median leaves out what other work on the
+ * machine delays. */
 static void
 test_timers(void)
 {
