--- a/tests/bench/bench_policy.c
+++ b/tests/bench/bench_policy.c
@@ -86,7 +86,8 @@
     fflush(stdout);
 }
 
-/* The first argument runs the scenario of that number only; the second one is
+/* The first argument runs the scenario of that number only, or all of them if
+ * there is no such scenario; the second one is
  * the seed. */
 int
 main(int argc, char **argv)
@@ -97,10 +98,10 @@
     printf("Latencies in ms at the peak, longer requests left out. p99/o: p99 "
            "over the\nomniscient one. busy, reqs: largest over mean of busy "
            "time and of requests\nover 10 s. sends, moved, asks: submissions, "
-           "hand-overs and load questions\nper call. Seed %u, %d crests.\n",
+           "hand-overs and load questions\nper call. Seed %u, %d peaks.\n",
            (unsigned)seed, CYCLES - 1);
     for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-        if (argc < 2 || i == only) {
+        if (only >= G_N_ELEMENTS(scenarios) || i == only) {
             run(&scenarios[i], seed);
         }
     }
--- a/tests/support/policy_simulation.h
+++ b/tests/support/policy_simulation.h
@@ -67,7 +67,7 @@
     uint64_t sends;
     uint64_t handovers;
     uint64_t asks;
-    /* Largest over mean of the hosts within 10 s, averaged over crests. */
+    /* Largest over mean of the hosts within 10 s, averaged over peaks. */
     double busy_imbalance;
     double request_imbalance;
 };
