--- a/Makefile
+++ b/Makefile
@@ -61,14 +61,14 @@
 	mkdir -p $(BUILD)-fuzz
 	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
 	  -fno-sanitize-recover=all -Isrc -Itests -D_GNU_SOURCE -DGB_VERSION='"fuzz"' \
-	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack) \
+	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack jansson) \
 	  tests/fuzz/fuzz_datagram.c \
 	  $(addprefix tests/support/,fleet.c hostile.c sample_messages.c \
 	    wire_fixture.c) src/state/*.c \
 	  src/coordination/*.c \
-	  $$(ls src/protocol/*.c | grep -v document_json) \
+	  src/protocol/*.c \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
-	  $$(pkg-config --libs glib-2.0 libsodium libxxhash msgpack) -lm
+	  $$(pkg-config --libs glib-2.0 libsodium libxxhash msgpack jansson) -lm
 	$(BUILD)-fuzz/fuzz_datagram -artifact_prefix=$(BUILD)-fuzz/ \
 	  -max_total_time=$(FUZZ_SECONDS) -max_len=2048
 
