--- a/tests/test_hostile.c
+++ b/tests/test_hostile.c
@@ -4,12 +4,10 @@
 
 #include "support/hostile.h"
 
-typedef void (*sample_function)(struct WireFixture *fixture, enum Role role,
-                                const uint8_t *data, uint32_t size_bytes);
-
 /* Runs check with every kind in every form for both roles. */
 static void
-for_each_sample(sample_function check)
+for_each_sample(void (*check)(struct WireFixture *fixture, enum Role role,
+                              const uint8_t *data, uint32_t size_bytes))
 {
     struct WireFixture fixture;
     uint8_t buffer[BUFFER_BYTES];
