--- a/src/coordination/document_sync.c
+++ b/src/coordination/document_sync.c
@@ -3,20 +3,16 @@
 #include <glib.h>
 #include <string.h>
 
+#include "coordination/watch_plan.h"
 #include "state/timer_queue.h"
 
 #define US_PER_MS INT64_C(1000)
 #define US_PER_SECOND INT64_C(1000000)
-/* Two waiting watches make 0.1 calls a second, half of what is allowed. */
-#define WATCH_WAIT_MS 20000
 /* A watch that is answered later than this after its wait has failed. */
 #define CALL_TIMEOUT_US (2 * US_PER_SECOND)
-#define WATCH_US (WATCH_WAIT_MS * US_PER_MS + CALL_TIMEOUT_US)
+#define WATCH_US (GB_WATCH_WAIT_MS * US_PER_MS + CALL_TIMEOUT_US)
 #define PULL_TIMEOUT_US (2 * US_PER_SECOND)
 #define SETTLING_LIMIT_US (5 * US_PER_SECOND)
-/* A change ends all watches of the fleet at once: 9,230 processes that watch
- * again within 5 s make 1,846 calls a second. */
-#define REWATCH_SPREAD_US (5 * US_PER_SECOND)
 /* Most processes get a new document from a peer within this time and need not
  * read it from the platform. */
 #define READ_SPREAD_US (500 * US_PER_MS)
@@ -28,9 +24,6 @@
  * peer a second the last 2% of 9,230 processes get it after 5.5 s, with four
  * for 3 s after 1.4 s. */
 #define SPREADING_ROUNDS 3
-/* Mean time between the checks of the head by a process that is no reader, in
- * case no peer reaches it: 9,230 processes make 154 calls a second. */
-#define CHECK_PERIOD_US (60 * US_PER_SECOND)
 
 static int64_t
 now_us(const struct GbDocumentSync *self)
@@ -62,34 +55,6 @@
            GbAcceptance_Highest(self->acceptance) == NULL;
 }
 
-static void
-plan_check(struct GbDocumentSync *self)
-{
-    GbSyncCall_Plan(&self->head_call,
-                    now_us(self) + CHECK_PERIOD_US / 2 +
-                        GbRandom_Below(self->random, CHECK_PERIOD_US));
-}
-
-static void
-plan_watch(struct GbDocumentSync *self, struct GbSyncCall *call, bool is_first,
-           bool is_changed)
-{
-    int64_t now = now_us(self);
-
-    if (!is_first && is_changed) {
-        GbSyncCall_Plan(call,
-                        now + GbRandom_Below(self->random, REWATCH_SPREAD_US));
-    }
-    else if (!is_first &&
-             now - call->started_us < WATCH_WAIT_MS * US_PER_MS / 2) {
-        /* A platform that does not wait would be asked without pause. */
-        GbSyncCall_BackOff(call, now, self->random);
-    }
-    else {
-        GbSyncCall_Plan(call, now);
-    }
-}
-
 static void
 announce(struct GbDocumentSync *self, uint32_t count)
 {
@@ -239,7 +204,7 @@
 
         self->port->klass->watch_head(self->port, call_id,
                                       &self->platform_head,
-                                      is_reader(self) ? WATCH_WAIT_MS : 0);
+                                      is_reader(self) ? GB_WATCH_WAIT_MS : 0);
     }
 }
 
@@ -250,7 +215,7 @@
         uint32_t call_id = start_call(self, &self->instances_call, WATCH_US);
 
         self->port->klass->watch_instances(
-            self->port, call_id, self->platform_version, WATCH_WAIT_MS);
+            self->port, call_id, self->platform_version, GB_WATCH_WAIT_MS);
     }
 }
 
@@ -303,18 +268,6 @@
     }
 }
 
-static int64_t
-platform_timer_us(const struct GbDocumentSync *self,
-                  const struct GbSyncCall *call)
-{
-    int64_t ready_us = GbCallBudget_ReadyUs(&self->budget);
-
-    if (call->is_active) {
-        return call->deadline_us;
-    }
-    return ready_us > call->next_us ? ready_us : call->next_us;
-}
-
 static int64_t
 pull_timer_us(const struct GbDocumentSync *self)
 {
@@ -367,11 +320,11 @@
     }
     is_changed = GbDocumentHead_Compare(head, &self->platform_head) != 0;
     if (is_reader(self)) {
-        plan_watch(self, &self->head_call, self->platform_head.revision == 0,
-                   is_changed);
+        GbWatchPlan_Watch(&self->head_call, now_us(self), self->random,
+                          self->platform_head.revision == 0, is_changed);
     }
     else {
-        plan_check(self);
+        GbWatchPlan_Check(&self->head_call, now_us(self), self->random);
     }
     self->platform_head = *head;
     if (!is_changed) {
@@ -425,7 +378,8 @@
         return;
     }
     is_changed = list->version != self->platform_version;
-    plan_watch(self, &self->instances_call, self->list == NULL, is_changed);
+    GbWatchPlan_Watch(&self->instances_call, now_us(self), self->random,
+                      self->list == NULL, is_changed);
     self->platform_version = list->version;
     if (!is_changed) {
         return;
@@ -507,14 +461,17 @@
 int64_t
 GbDocumentSync_NextTimerUs(const struct GbDocumentSync *self)
 {
+    int64_t ready_us = GbCallBudget_ReadyUs(&self->budget);
     int64_t next_us =
         MIN(self->announce_us, GbAcceptance_NextTimerUs(self->acceptance));
 
     next_us = MIN(next_us, pull_timer_us(self));
-    next_us = MIN(next_us, platform_timer_us(self, &self->head_call));
-    next_us = MIN(next_us, platform_timer_us(self, &self->instances_call));
+    next_us = MIN(next_us, GbSyncCall_TimerUs(&self->head_call, ready_us));
+    next_us =
+        MIN(next_us, GbSyncCall_TimerUs(&self->instances_call, ready_us));
     if (is_document_wanted(self) || self->document_call.is_active) {
-        next_us = MIN(next_us, platform_timer_us(self, &self->document_call));
+        next_us =
+            MIN(next_us, GbSyncCall_TimerUs(&self->document_call, ready_us));
     }
     return next_us;
 }
--- a/src/coordination/sync_call.c
+++ b/src/coordination/sync_call.c
@@ -34,3 +34,12 @@
 {
     self->next_us = now_us + GbBackoff_Fail(&self->backoff, random);
 }
+
+int64_t
+GbSyncCall_TimerUs(const struct GbSyncCall *self, int64_t ready_us)
+{
+    if (self->is_active) {
+        return self->deadline_us;
+    }
+    return ready_us > self->next_us ? ready_us : self->next_us;
+}
--- a/src/coordination/sync_call.h
+++ b/src/coordination/sync_call.h
@@ -22,6 +22,10 @@
 /* Returns false if the answer belongs to a call that was stopped. */
 bool GbSyncCall_End(struct GbSyncCall *self, uint32_t call_id);
 
+/* When something is due: the end of the call in progress, or the next call,
+ * which needs a token that is there at ready_us. */
+int64_t GbSyncCall_TimerUs(const struct GbSyncCall *self, int64_t ready_us);
+
 /* Plans the next call after a success. */
 void GbSyncCall_Plan(struct GbSyncCall *self, int64_t next_us);
 
--- /dev/null
+++ b/tests/support/desk_environment.h
@@ -0,0 +1,14 @@
+#ifndef GB_TESTS_SUPPORT_DESK_ENVIRONMENT_H
+#define GB_TESTS_SUPPORT_DESK_ENVIRONMENT_H
+
+#include "support/environment.h"
+
+#define DESK_SERVICE "desk"
+#define DESK_HOSTS 3
+#define DESK_BALANCERS 3
+
+/* Balancers and one pool, with short deadlines and a pack that takes about two
+ * seconds. */
+extern const struct GbEnvironmentConfig desk_environment;
+
+#endif
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -4,16 +4,13 @@
 #include <sodium.h>
 #include <string.h>
 
-#include "support/environment.h"
+#include "support/desk_environment.h"
 #include "support/http_get.h"
 #include "support/malformed.h"
 #include "support/pack_bytes.h"
 #include "support/run_log.h"
 #include "transport/caller_task.h"
 
-#define SERVICE "desk"
-#define HOSTS 3
-#define BALANCERS 3
 #define CHECKS_AT_ONCE 6
 #define DEADLINE_MS 1500
 #define PACK_BYTES 600000
@@ -37,37 +34,6 @@
 #define PACK_KEY "pack-1"
 #define MALFORMED_DATAGRAMS 20000
 
-static const char services_json[] =
-    "[{\"name\":\"desk\",\"id\":7,\"address\":\"127.0.0.1\",\"port\":0,"
-    "\"slots\":3,\"ramp_ms\":0,\"long_after_ms\":1000,"
-    "\"drain\":{\"flow_ms\":300},"
-    "\"limits\":{\"flows\":30000,\"queue\":192,\"rate_per_s\":30000,"
-    "\"retry_budget_percent\":100},\"operations\":["
-    "{\"name\":\"check\",\"id\":1,\"class\":\"short\",\"idempotent\":false,"
-    "\"deadline_ms\":1500,\"max_answer_bytes\":4096},"
-    "{\"name\":\"look-up\",\"id\":2,\"class\":\"short\",\"idempotent\":true,"
-    "\"deadline_ms\":1500,\"max_answer_bytes\":4096},"
-    "{\"name\":\"pack\",\"id\":3,\"class\":\"long\",\"idempotent\":true,"
-    "\"deadline_ms\":15000,\"max_answer_bytes\":4000000}]}]";
-
-static const struct GbPoolConfig pools[] = {
-    {SERVICE,
-     HOSTS,
-     {"--slots", "3", "--work-ms", "15", "--pack-bytes", "600000",
-      "--chunk-bytes", "12000", "--chunk-ms", "40", NULL}},
-};
-
-static const struct GbEnvironmentConfig environment_config = {
-    .build_dir = GB_BUILD_DIR,
-    .services_json = services_json,
-    .balancer_arguments = {"--quiet-ms", "300", "--stop-limit-ms", "10000",
-                           NULL},
-    .agent_arguments = {"--stop-limit-ms", "14000", NULL},
-    .balancers = BALANCERS,
-    .pools = pools,
-    .pool_count = G_N_ELEMENTS(pools),
-};
-
 enum Victim {
     VICTIM_NONE,
     VICTIM_BALANCER,
@@ -262,10 +228,10 @@
 static void
 use_balancers(struct Run *run, bool is_first_used)
 {
-    struct GbAddress addresses[BALANCERS];
+    struct GbAddress addresses[DESK_BALANCERS];
     uint32_t count = 0;
 
-    for (uint32_t i = is_first_used ? 0 : 1; i < BALANCERS; i++) {
+    for (uint32_t i = is_first_used ? 0 : 1; i < DESK_BALANCERS; i++) {
         addresses[count++] = run->environment.balancers[i].address;
     }
     GbCallerTask_SetBalancers(&run->task, addresses, count);
@@ -276,9 +242,9 @@
 {
     struct GbLastMessage last;
 
-    GbEnvironment_Start(&run->environment, &environment_config);
+    GbEnvironment_Start(&run->environment, &desk_environment);
     run->document = GbEnvironment_ReadDocument(&run->environment);
-    run->service = GbDocument_ServiceByName(run->document, SERVICE);
+    run->service = GbDocument_ServiceByName(run->document, DESK_SERVICE);
     run->outcomes = g_ptr_array_new();
     GbSystemClock_Init(&run->clock);
     GbCallerTask_Init(&run->task, run->document, run->service,
