Send both kinds of NOT_RUN through one function

Cause: GbReply_RequestNotRun repeated GbReply_NotRun.

Change: it calls it with the request's flow and id.

--- a/src/coordination/reply.c
+++ b/src/coordination/reply.c
@@ -58,13 +58,10 @@
 GbReply_RequestNotRun(struct GbAgent *agent, const struct GbRequest *request,
                       enum GbNotRunReason reason)
 {
-    struct GbMessage reply;
+    struct GbMessage message = {.flow_id = request->flow->id,
+                                .request_id = request->id};
 
-    fill_head(agent, &reply, GB_MESSAGE_NOT_RUN, request->flow->id,
-              request->id);
-    reply.not_run = reason;
-    GbCounters_Add(agent->counters, GB_COUNTER_REQUESTS_NOT_RUN, 1);
-    send(agent, &request->path, &reply);
+    GbReply_NotRun(agent, &request->path, &message, reason);
 }
 
 void
