--- /dev/null
+++ b/src/coordination/flows/flow_admission.c
@@ -0,0 +1,211 @@
+#include "coordination/flows/flow_admission.h"
+
+#include "coordination/flows/flow_choice.h"
+#include "coordination/flows/flow_load.h"
+
+/* Beyond this number of agents an opening packet stays where it is. */
+#define OPENING_HOPS_MAX 2
+
+/* Options of one opening packet; members[i] is NULL for the own target. */
+struct Options {
+    struct GbFlowOption items[GB_FLOW_POOL_MEMBERS_MAX + 1];
+    struct GbFlowMember *members[GB_FLOW_POOL_MEMBERS_MAX + 1];
+    uint32_t count;
+};
+
+static void
+add_own(struct GbFlowAgent *self, struct Options *options, int64_t now_us)
+{
+    options->items[options->count] = (struct GbFlowOption){
+        .in_flight = self->in_flight,
+        .slots = GbFlowLoad_Slots(self),
+        .is_cold = now_us < self->warm_us,
+    };
+    options->members[options->count++] = NULL;
+}
+
+static void
+add_members(struct GbFlowAgent *self, struct Options *options, int64_t now_us)
+{
+    for (uint32_t i = 0; i < self->pool.count; i++) {
+        struct GbFlowMember *member = &self->pool.members[i];
+
+        if (!GbFlowMember_IsUsable(member, now_us)) {
+            continue;
+        }
+        options->items[options->count] = (struct GbFlowOption){
+            .in_flight = member->load.running,
+            .slots = member->load.capacity,
+            .is_cold = now_us < member->warm_us,
+            .is_remote = true,
+            .is_other_data_centre = !member->is_same_data_centre,
+        };
+        options->members[options->count++] = member;
+    }
+}
+
+static void
+open_here(struct GbFlowAgent *self, struct GbPacket *packet,
+          uint32_t balancer_ipv4, int64_t now_us)
+{
+    struct GbPacketFlow *flow =
+        GbPacketFlowTable_Find(&self->flows, &packet->key);
+
+    if (flow == NULL) {
+        flow = GbPacketFlowTable_Add(&self->flows, &packet->key, now_us);
+    }
+    if (flow == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_FLOWS_TABLE_FULL, 1);
+        GbFlowAgent_Reset(self, packet);
+        return;
+    }
+    flow->state = GB_PACKET_FLOW_OPENING;
+    flow->opened_us = now_us;
+    flow->balancer_ipv4 = balancer_ipv4;
+    GbFlowLoad_Begin(self, flow, now_us);
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_OPENED, 1);
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_OPENED, &packet->key,
+                       self->config.own_ipv4, self->in_flight,
+                       GbFlowLoad_Slots(self));
+    GbFlowTarget_Opened(&self->target, now_us);
+    self->port->klass->deliver(self->port, packet);
+}
+
+static void
+hand_over(struct GbFlowAgent *self, struct GbPacket *packet,
+          struct GbFlowMember *member, uint32_t balancer_ipv4, int64_t now_us)
+{
+    struct GbPacketFlow *flow =
+        GbPacketFlowTable_Find(&self->flows, &packet->key);
+
+    if (flow == NULL) {
+        flow = GbPacketFlowTable_Add(&self->flows, &packet->key, now_us);
+    }
+    if (flow != NULL) {
+        GbFlowLoad_End(self, flow);
+        flow->state = GB_PACKET_FLOW_ELSEWHERE;
+        flow->owner_ipv4 = member->ipv4;
+    }
+    else {
+        GbCounters_Add(self->counters, GB_COUNTER_FLOWS_TABLE_FULL, 1);
+    }
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_HANDED_OVER, 1);
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_HANDED_OVER, &packet->key,
+                       member->ipv4, member->load.running,
+                       member->load.capacity);
+    /* Until the member reports again. */
+    member->load.running++;
+    GbFlowAdmission_PassOn(self, packet, member->ipv4, balancer_ipv4);
+}
+
+static void
+refuse(struct GbFlowAgent *self, struct GbPacket *packet)
+{
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_REFUSED, &packet->key,
+                       self->config.own_ipv4, self->in_flight,
+                       GbFlowLoad_Slots(self));
+    GbFlowAgent_Reset(self, packet);
+}
+
+static void
+place(struct GbFlowAgent *self, struct GbPacket *packet,
+      uint32_t balancer_ipv4, bool is_own_allowed)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct Options options = {.count = 0};
+    int32_t best;
+
+    if (is_own_allowed && GbFlowLoad_IsOwnUsable(self, now_us)) {
+        add_own(self, &options, now_us);
+    }
+    if (options.count == 0 || packet->hops < OPENING_HOPS_MAX) {
+        add_members(self, &options, now_us);
+    }
+    if (options.count == 0 && is_own_allowed) {
+        /* Nobody is known to be better. */
+        open_here(self, packet, balancer_ipv4, now_us);
+        return;
+    }
+    best = GbFlowChoice_Best(options.items, options.count);
+    if (best < 0 || packet->hops >= GB_FLOW_HOPS_MAX) {
+        refuse(self, packet);
+    }
+    else if (options.members[best] == NULL) {
+        open_here(self, packet, balancer_ipv4, now_us);
+    }
+    else {
+        hand_over(self, packet, options.members[best], balancer_ipv4, now_us);
+    }
+}
+
+void
+GbFlowAdmission_Open(struct GbFlowAgent *self, struct GbPacket *packet,
+                     uint32_t balancer_ipv4)
+{
+    place(self, packet, balancer_ipv4, true);
+}
+
+void
+GbFlowAdmission_Repeat(struct GbFlowAgent *self, struct GbPacket *packet,
+                       struct GbPacketFlow *flow, uint32_t balancer_ipv4)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbFlowMember *member;
+
+    if (flow->state != GB_PACKET_FLOW_ELSEWHERE) {
+        if (GbFlowTarget_Opened(&self->target, now_us)) {
+            GbFlowLoad_End(self, flow);
+            place(self, packet, balancer_ipv4, true);
+            return;
+        }
+        GbPacketFlowTable_Touch(&self->flows, flow, now_us);
+        self->port->klass->deliver(self->port, packet);
+        return;
+    }
+    member = GbFlowPool_Find(&self->pool, flow->owner_ipv4);
+    if (member != NULL && GbFlowMember_IsUsable(member, now_us)) {
+        GbFlowAdmission_PassOn(self, packet, flow->owner_ipv4, balancer_ipv4);
+        return;
+    }
+    place(self, packet, balancer_ipv4, true);
+}
+
+void
+GbFlowAdmission_Returned(struct GbFlowAgent *self, struct GbPacket *packet)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbPacketFlow *flow =
+        GbPacketFlowTable_Find(&self->flows, &packet->key);
+    uint32_t balancer_ipv4 = 0;
+
+    GbFlowTarget_Refused(&self->target, now_us);
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_RETURNED, &packet->key,
+                       self->config.own_ipv4, self->in_flight,
+                       GbFlowLoad_Slots(self));
+    if (flow != NULL) {
+        balancer_ipv4 = flow->balancer_ipv4;
+        GbFlowLoad_Remove(self, flow);
+    }
+    place(self, packet, balancer_ipv4, false);
+}
+
+void
+GbFlowAdmission_PassOn(struct GbFlowAgent *self, struct GbPacket *packet,
+                       uint32_t owner_ipv4, uint32_t balancer_ipv4)
+{
+    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER};
+
+    if (packet->hops >= GB_FLOW_HOPS_MAX) {
+        GbCounters_Add(self->counters, GB_COUNTER_PACKETS_HOPS_EXCEEDED, 1);
+        return;
+    }
+    packet->hops++;
+    packet->service_id = self->config.service_id;
+    self->port->klass->forward(self->port, packet, owner_ipv4);
+    if (balancer_ipv4 != 0) {
+        notice.service_id = self->config.service_id;
+        notice.key = packet->key;
+        notice.owner_ipv4 = owner_ipv4;
+        self->port->klass->notify(self->port, &notice, balancer_ipv4);
+    }
+}
--- /dev/null
+++ b/src/coordination/flows/flow_admission.h
@@ -0,0 +1,27 @@
+#ifndef GB_COORDINATION_FLOWS_FLOW_ADMISSION_H
+#define GB_COORDINATION_FLOWS_FLOW_ADMISSION_H
+
+#include "coordination/flows/flow_agent_state.h"
+
+/* Handles the first copy of an opening packet: gives it to the own target or
+ * to the member where it is served earliest, or resets the client if all are
+ * so loaded that their targets would refuse it. balancer_ipv4 is 0 if another
+ * agent sent the packet. */
+void GbFlowAdmission_Open(struct GbFlowAgent *self, struct GbPacket *packet,
+                          uint32_t balancer_ipv4);
+
+/* Handles a further copy of an opening packet: it goes where the first one
+ * went, unless that agent or target is silent. */
+void GbFlowAdmission_Repeat(struct GbFlowAgent *self, struct GbPacket *packet,
+                            struct GbPacketFlow *flow, uint32_t balancer_ipv4);
+
+/* Handles an opening packet that the own target gave back. */
+void GbFlowAdmission_Returned(struct GbFlowAgent *self,
+                              struct GbPacket *packet);
+
+/* Passes a packet on to the agent that has its flow, and tells the balancer
+ * so. */
+void GbFlowAdmission_PassOn(struct GbFlowAgent *self, struct GbPacket *packet,
+                            uint32_t owner_ipv4, uint32_t balancer_ipv4);
+
+#endif
--- /dev/null
+++ b/src/coordination/flows/flow_agent.c
@@ -0,0 +1,352 @@
+#include "coordination/flows/flow_agent.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "coordination/flows/flow_admission.h"
+#include "coordination/flows/flow_load.h"
+#include "coordination/flows/flow_location.h"
+
+#define US_PER_MS INT64_C(1000)
+/* How far beyond the target's first sequence number the first packet of a
+ * client that follows it can acknowledge. */
+#define FIRST_ACK_MAX 0xffffU
+#define REPORT_PERIOD_US INT64_C(100000)
+/* Two reports fit into the silence after which a balancer suspects an
+ * agent. */
+#define BALANCER_REPORT_PERIOD_US INT64_C(140000)
+
+static const struct GbInstance *
+find_own(const struct GbFlowAgent *self)
+{
+    const struct GbInstanceList *list = self->view->list;
+    const struct GbInstance *own = NULL;
+
+    /* While a target is replaced, its address may have an old and a new
+     * entry. */
+    for (uint32_t i = 0; i < list->count; i++) {
+        const struct GbInstance *instance = &list->instances[i];
+
+        if (instance->address.ipv4 == self->config.own_ipv4 &&
+            instance->service_id == self->config.service_id &&
+            (own == NULL || own->is_leaving)) {
+            own = instance;
+        }
+    }
+    return own;
+}
+
+/* A packet that opens no flow, of a flow in the table. Returns false if the
+ * flow is not the one that the packet belongs to. */
+static bool
+follow(struct GbFlowAgent *self, struct GbPacket *packet,
+       struct GbPacketFlow *flow, int64_t now_us)
+{
+    if (flow->state == GB_PACKET_FLOW_OPENING) {
+        if (flow->has_target_sequence &&
+            (packet->flags & GB_PACKET_ACK) != 0 &&
+            packet->acknowledgement - flow->target_sequence > FIRST_ACK_MAX) {
+            return false;
+        }
+        flow->state = GB_PACKET_FLOW_OPEN;
+        flow->requested_us = now_us;
+    }
+    GbPacketFlowTable_Touch(&self->flows, flow, now_us);
+    if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
+        flow->is_closing = true;
+        GbFlowLoad_End(self, flow);
+    }
+    else if (packet->data_bytes > 0) {
+        GbFlowLoad_Begin(self, flow, now_us);
+    }
+    return true;
+}
+
+static void
+deliver(struct GbFlowAgent *self, struct GbPacket *packet)
+{
+    GbCounters_Add(self->counters, GB_COUNTER_PACKETS_DELIVERED, 1);
+    self->port->klass->deliver(self->port, packet);
+}
+
+static void
+receive_later_packet(struct GbFlowAgent *self, struct GbPacket *packet,
+                     struct GbPacketFlow *flow, uint32_t balancer_ipv4)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    if (flow == NULL) {
+        /* The target may have it from before this process started; it gives
+         * the packet back otherwise. */
+        deliver(self, packet);
+        return;
+    }
+    if (flow->state == GB_PACKET_FLOW_ELSEWHERE) {
+        GbPacketFlowTable_Touch(&self->flows, flow, now_us);
+        GbFlowAdmission_PassOn(self, packet, flow->owner_ipv4, balancer_ipv4);
+        return;
+    }
+    if (balancer_ipv4 != 0) {
+        flow->balancer_ipv4 = balancer_ipv4;
+    }
+    if (follow(self, packet, flow, now_us)) {
+        deliver(self, packet);
+        return;
+    }
+    GbFlowLoad_Remove(self, flow);
+    GbFlowLocation_Find(self, packet, balancer_ipv4);
+}
+
+static void
+receive_returned(struct GbFlowAgent *self, struct GbPacket *packet)
+{
+    struct GbPacketFlow *flow;
+
+    GbCounters_Add(self->counters, GB_COUNTER_PACKETS_RETURNED, 1);
+    if (GbPacket_IsOpening(packet)) {
+        GbFlowAdmission_Returned(self, packet);
+        return;
+    }
+    GbFlowTarget_Answered(&self->target);
+    flow = GbPacketFlowTable_Find(&self->flows, &packet->key);
+    if (flow != NULL && flow->state == GB_PACKET_FLOW_ELSEWHERE) {
+        GbFlowAdmission_PassOn(self, packet, flow->owner_ipv4, 0);
+        return;
+    }
+    if (flow != NULL) {
+        GbFlowLoad_Remove(self, flow);
+    }
+    GbFlowLocation_Find(self, packet, 0);
+}
+
+/* Whether the target answers an opening packet of a flow that went to another
+ * agent meanwhile. */
+static bool
+is_superseded(const struct GbPacketFlow *flow, const struct GbPacket *packet)
+{
+    return flow != NULL && flow->state == GB_PACKET_FLOW_ELSEWHERE &&
+           (packet->flags & GB_PACKET_SYN) != 0;
+}
+
+/* Flow of a packet that the target sent. It is added if the target has a flow
+ * that this process does not know. */
+static struct GbPacketFlow *
+find_or_adopt(struct GbFlowAgent *self, const struct GbPacket *packet,
+              int64_t now_us)
+{
+    struct GbPacketFlow *flow =
+        GbPacketFlowTable_Find(&self->flows, &packet->key);
+
+    if (flow != NULL && flow->state != GB_PACKET_FLOW_ELSEWHERE) {
+        return flow;
+    }
+    if (flow == NULL) {
+        flow = GbPacketFlowTable_Add(&self->flows, &packet->key, now_us);
+    }
+    if (flow == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_FLOWS_TABLE_FULL, 1);
+        return NULL;
+    }
+    flow->state = GB_PACKET_FLOW_OPEN;
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_ADOPTED, 1);
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_ADOPTED, &packet->key,
+                       self->config.own_ipv4, self->in_flight,
+                       GbFlowLoad_Slots(self));
+    return flow;
+}
+
+void
+GbFlowAgent_Record(struct GbFlowAgent *self, enum GbFlowDecisionKind kind,
+                   const struct GbFlowKey *key, uint32_t agent_ipv4,
+                   uint32_t in_flight, uint32_t slots)
+{
+    struct GbFlowDecision decision = {.kind = kind, .key = *key};
+
+    decision.agent_ipv4 = agent_ipv4;
+    decision.in_flight = in_flight;
+    decision.slots = slots;
+    decision.routes_version =
+        self->view != NULL ? self->view->routes->version : 0;
+    self->port->klass->decided(self->port, &decision);
+}
+
+void
+GbFlowAgent_Reset(struct GbFlowAgent *self, const struct GbPacket *packet)
+{
+    /* A client takes a reset near its last acknowledgement; before the flow
+     * is open any number does. */
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_RESET, 1);
+    self->port->klass->reset(self->port, &packet->key,
+                             packet->acknowledgement);
+}
+
+void
+GbFlowAgent_Init(struct GbFlowAgent *self,
+                 const struct GbFlowAgentConfig *config,
+                 struct GbPacketPort *port, struct GbClock *clock,
+                 struct GbCounters *counters)
+{
+    memset(self, 0, sizeof(*self));
+    self->config = *config;
+    self->port = port;
+    self->clock = clock;
+    self->counters = counters;
+    self->started_us = GbClock_MonotonicUs(clock);
+    self->warm_us = INT64_MIN;
+    self->report_us = self->started_us;
+    self->balancer_report_us = self->started_us;
+    GbPacketFlowTable_Init(&self->flows, config->flow_limit);
+    GbFlowPool_Init(&self->pool);
+    GbFlowLookups_Init(&self->lookups);
+    GbFlowTarget_Init(&self->target);
+}
+
+void
+GbFlowAgent_Finish(struct GbFlowAgent *self)
+{
+    GbFlowLookups_Finish(&self->lookups);
+    GbPacketFlowTable_Finish(&self->flows);
+    GbPacketView_Unref(self->view);
+}
+
+void
+GbFlowAgent_SetView(struct GbFlowAgent *self, struct GbPacketView *view)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    GbPacketView_Unref(self->view);
+    self->view = view;
+    self->own = find_own(self);
+    if (self->own != NULL) {
+        self->warm_us = now_us + self->own->cold_ms * US_PER_MS;
+    }
+    GbFlowPool_SetList(&self->pool, view->list, self->config.service_id,
+                       self->config.own_ipv4, self->config.data_centre,
+                       now_us);
+}
+
+void
+GbFlowAgent_Drain(struct GbFlowAgent *self)
+{
+    self->is_draining = true;
+}
+
+void
+GbFlowAgent_Receive(struct GbFlowAgent *self, uint32_t from_ipv4,
+                    struct GbPacket *packet)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    uint32_t balancer_ipv4 = packet->hops == 0 ? from_ipv4 : 0;
+    struct GbPacketFlow *flow;
+
+    if (packet->service_id != self->config.service_id) {
+        GbCounters_Add(self->counters, GB_COUNTER_WRONG_SERVICE, 1);
+        return;
+    }
+    if (balancer_ipv4 != 0) {
+        GbFlowLoad_SeenBalancer(self, balancer_ipv4, now_us);
+    }
+    flow = GbPacketFlowTable_Find(&self->flows, &packet->key);
+    if (!GbPacket_IsOpening(packet)) {
+        receive_later_packet(self, packet, flow, balancer_ipv4);
+    }
+    else if (flow == NULL) {
+        GbFlowAdmission_Open(self, packet, balancer_ipv4);
+    }
+    else {
+        GbFlowAdmission_Repeat(self, packet, flow, balancer_ipv4);
+    }
+}
+
+void
+GbFlowAgent_FromTarget(struct GbFlowAgent *self, struct GbPacket *packet)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbPacketFlow *flow;
+
+    if ((packet->flags & GB_PACKET_RETURNED) != 0) {
+        receive_returned(self, packet);
+        return;
+    }
+    GbFlowTarget_Answered(&self->target);
+    if (is_superseded(GbPacketFlowTable_Find(&self->flows, &packet->key),
+                      packet)) {
+        return;
+    }
+    flow = find_or_adopt(self, packet, now_us);
+    if (flow != NULL) {
+        GbPacketFlowTable_Touch(&self->flows, flow, now_us);
+        if ((packet->flags & GB_PACKET_SYN) != 0) {
+            flow->has_target_sequence = true;
+            flow->target_sequence = packet->sequence;
+        }
+        if (packet->data_bytes > 0) {
+            GbFlowLoad_End(self, flow);
+        }
+        if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
+            flow->is_closing = true;
+            GbFlowLoad_End(self, flow);
+        }
+    }
+    GbCounters_Add(self->counters, GB_COUNTER_PACKETS_REPLIED, 1);
+    self->port->klass->reply(self->port, packet);
+}
+
+void
+GbFlowAgent_Heard(struct GbFlowAgent *self, uint32_t from_ipv4,
+                  const struct GbFlowNotice *notice)
+{
+    struct GbFlowMember *member;
+
+    GbCounters_Add(self->counters, GB_COUNTER_NOTICES_RECEIVED, 1);
+    if (notice->service_id != self->config.service_id) {
+        GbCounters_Add(self->counters, GB_COUNTER_WRONG_SERVICE, 1);
+        return;
+    }
+    switch (notice->kind) {
+    case GB_FLOW_NOTICE_LOAD:
+        member = GbFlowPool_Find(&self->pool, from_ipv4);
+        if (member != NULL) {
+            member->load = notice->load;
+            member->heard_us = GbClock_MonotonicUs(self->clock);
+        }
+        break;
+    case GB_FLOW_NOTICE_ASK:
+        GbFlowLocation_Asked(self, from_ipv4, notice);
+        break;
+    default:
+        GbFlowLocation_Answered(self, from_ipv4, notice);
+        break;
+    }
+}
+
+void
+GbFlowAgent_Flush(struct GbFlowAgent *self)
+{
+    GbFlowLoad_TellPool(self, GbClock_MonotonicUs(self->clock), false);
+}
+
+int64_t
+GbFlowAgent_NextTimerUs(const struct GbFlowAgent *self)
+{
+    int64_t next_us = MIN(self->report_us, self->balancer_report_us);
+
+    return MIN(next_us, GbFlowLookups_NextUs(&self->lookups));
+}
+
+void
+GbFlowAgent_Tick(struct GbFlowAgent *self)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    GbFlowLocation_Tick(self, now_us);
+    if (now_us >= self->report_us) {
+        self->report_us = now_us + REPORT_PERIOD_US;
+        GbFlowLoad_Expire(self, now_us);
+        GbFlowLoad_TellPool(self, now_us, true);
+    }
+    if (now_us >= self->balancer_report_us) {
+        self->balancer_report_us = now_us + BALANCER_REPORT_PERIOD_US;
+        GbFlowLoad_TellBalancers(self, now_us);
+    }
+}
--- /dev/null
+++ b/src/coordination/flows/flow_agent_state.h
@@ -0,0 +1,70 @@
+#ifndef GB_COORDINATION_FLOWS_FLOW_AGENT_STATE_H
+#define GB_COORDINATION_FLOWS_FLOW_AGENT_STATE_H
+
+#include "coordination/flows/flow_lookup.h"
+#include "coordination/flows/flow_pool.h"
+#include "coordination/flows/flow_target.h"
+#include "coordination/flows/packet_port.h"
+#include "state/clock.h"
+#include "state/counters.h"
+#include "state/packet_flow_table.h"
+#include "state/packet_view.h"
+
+/* Agents that may pass a packet on before it is dropped. */
+#define GB_FLOW_HOPS_MAX 4
+
+#define GB_FLOW_BALANCERS_MAX 64
+
+/* Balancer that has sent packets here. */
+struct GbFlowBalancer {
+    uint32_t ipv4;
+    int64_t used_us;
+};
+
+struct GbFlowAgentConfig {
+    uint32_t own_ipv4;
+    uint32_t service_id;
+    char data_centre[GB_NAME_BYTES];
+    /* Flows held at most. */
+    uint32_t flow_limit;
+};
+
+/* Decisions of the agent beside a target about the packets of flows: which
+ * flows its target takes, which go to other agents of the pool, and who has a
+ * flow that it does not know. */
+struct GbFlowAgent {
+    struct GbFlowAgentConfig config;
+    struct GbPacketPort *port;
+    struct GbClock *clock;
+    struct GbCounters *counters;
+    struct GbPacketView *view;
+    /* Own entry in the instance list; NULL if it is not listed. */
+    const struct GbInstance *own;
+    struct GbPacketFlowTable flows;
+    struct GbFlowPool pool;
+    struct GbFlowLookups lookups;
+    struct GbFlowTarget target;
+    struct GbFlowBalancer balancers[GB_FLOW_BALANCERS_MAX];
+    uint32_t balancer_count;
+    /* Flows that the target works on or is about to. */
+    uint32_t in_flight;
+    int64_t started_us;
+    /* Monotonic time at which the target has started up. */
+    int64_t warm_us;
+    /* Next times of the periodic work. */
+    int64_t report_us;
+    int64_t balancer_report_us;
+    struct GbLoad told;
+    bool is_draining;
+};
+
+/* Tells the log of a decision. */
+void GbFlowAgent_Record(struct GbFlowAgent *self, enum GbFlowDecisionKind kind,
+                        const struct GbFlowKey *key, uint32_t agent_ipv4,
+                        uint32_t in_flight, uint32_t slots);
+
+/* Resets the client of a packet's flow. */
+void GbFlowAgent_Reset(struct GbFlowAgent *self,
+                       const struct GbPacket *packet);
+
+#endif
--- /dev/null
+++ b/src/coordination/flows/flow_load.c
@@ -0,0 +1,164 @@
+#include "coordination/flows/flow_load.h"
+
+#include <string.h>
+
+/* A client that follows its opening packet does so within two round trips. */
+#define OPENING_US INT64_C(500000)
+/* Longest time for which a request counts as work of the target. */
+#define WORK_MAX_US INT64_C(3000000)
+/* Flows without packets for longer are forgotten; a later packet finds its
+ * flow through the target. */
+#define IDLE_US INT64_C(20000000)
+/* A closed flow is kept for repeated packets. */
+#define CLOSED_US INT64_C(2000000)
+#define BALANCER_IDLE_US INT64_C(3000000)
+
+static bool
+is_stale(const struct GbPacketFlow *flow, int64_t now_us)
+{
+    if (flow->state == GB_PACKET_FLOW_OPENING) {
+        return now_us - flow->opened_us >= OPENING_US;
+    }
+    return now_us - flow->requested_us >= WORK_MAX_US;
+}
+
+static bool
+is_expired(const struct GbPacketFlow *flow, int64_t now_us)
+{
+    return now_us - flow->used_us >= (flow->is_closing ? CLOSED_US : IDLE_US);
+}
+
+static void
+make_notice(const struct GbFlowAgent *self, struct GbFlowNotice *notice,
+            int64_t now_us)
+{
+    memset(notice, 0, sizeof(*notice));
+    notice->kind = GB_FLOW_NOTICE_LOAD;
+    notice->service_id = self->config.service_id;
+    notice->load.running = self->in_flight;
+    notice->load.is_draining = self->is_draining;
+    if (GbFlowLoad_IsOwnUsable(self, now_us)) {
+        notice->load.capacity = GbFlowLoad_Slots(self);
+    }
+}
+
+static bool
+is_same_load(const struct GbLoad *a, const struct GbLoad *b)
+{
+    return a->running == b->running && a->capacity == b->capacity &&
+           a->is_draining == b->is_draining;
+}
+
+void
+GbFlowLoad_Begin(struct GbFlowAgent *self, struct GbPacketFlow *flow,
+                 int64_t now_us)
+{
+    flow->requested_us = now_us;
+    if (!flow->is_in_flight) {
+        flow->is_in_flight = true;
+        self->in_flight++;
+    }
+}
+
+void
+GbFlowLoad_End(struct GbFlowAgent *self, struct GbPacketFlow *flow)
+{
+    if (flow->is_in_flight) {
+        flow->is_in_flight = false;
+        self->in_flight--;
+    }
+}
+
+void
+GbFlowLoad_Remove(struct GbFlowAgent *self, struct GbPacketFlow *flow)
+{
+    GbFlowLoad_End(self, flow);
+    GbPacketFlowTable_Remove(&self->flows, flow);
+}
+
+uint32_t
+GbFlowLoad_Slots(const struct GbFlowAgent *self)
+{
+    return self->own != NULL && self->own->weight > 0 ? self->own->weight : 1;
+}
+
+bool
+GbFlowLoad_IsOwnUsable(const struct GbFlowAgent *self, int64_t now_us)
+{
+    if (self->is_draining || !GbFlowTarget_IsUsable(&self->target, now_us)) {
+        return false;
+    }
+    /* Without any list the target is all that is known. */
+    return self->view == NULL || (self->own != NULL && !self->own->is_leaving);
+}
+
+void
+GbFlowLoad_Expire(struct GbFlowAgent *self, int64_t now_us)
+{
+    GList *link = self->flows.by_use.head;
+
+    while (link != NULL) {
+        struct GbPacketFlow *flow = link->data;
+
+        link = link->next;
+        if (is_expired(flow, now_us)) {
+            GbFlowLoad_Remove(self, flow);
+        }
+        else if (flow->is_in_flight && is_stale(flow, now_us)) {
+            GbFlowLoad_End(self, flow);
+        }
+    }
+}
+
+void
+GbFlowLoad_TellPool(struct GbFlowAgent *self, int64_t now_us, bool is_due)
+{
+    struct GbFlowNotice notice;
+
+    make_notice(self, &notice, now_us);
+    if (!is_due && is_same_load(&notice.load, &self->told)) {
+        return;
+    }
+    self->told = notice.load;
+    for (uint32_t i = 0; i < self->pool.count; i++) {
+        self->port->klass->notify(self->port, &notice,
+                                  self->pool.members[i].ipv4);
+    }
+}
+
+void
+GbFlowLoad_TellBalancers(struct GbFlowAgent *self, int64_t now_us)
+{
+    struct GbFlowNotice notice;
+
+    make_notice(self, &notice, now_us);
+    for (uint32_t i = 0; i < self->balancer_count; i++) {
+        if (now_us - self->balancers[i].used_us < BALANCER_IDLE_US) {
+            self->port->klass->notify(self->port, &notice,
+                                      self->balancers[i].ipv4);
+        }
+    }
+}
+
+void
+GbFlowLoad_SeenBalancer(struct GbFlowAgent *self, uint32_t ipv4,
+                        int64_t now_us)
+{
+    uint32_t at = 0;
+    uint32_t oldest = 0;
+
+    while (at < self->balancer_count && self->balancers[at].ipv4 != ipv4) {
+        if (self->balancers[at].used_us < self->balancers[oldest].used_us) {
+            oldest = at;
+        }
+        at++;
+    }
+    if (at == GB_FLOW_BALANCERS_MAX) {
+        at = oldest;
+    }
+    else if (at == self->balancer_count) {
+        self->balancer_count++;
+    }
+    self->balancers[at].ipv4 = ipv4;
+    self->balancers[at].used_us = now_us;
+}
--- /dev/null
+++ b/src/coordination/flows/flow_location.c
@@ -0,0 +1,163 @@
+#include "coordination/flows/flow_location.h"
+
+#include "coordination/flows/flow_admission.h"
+#include "coordination/flows/flow_load.h"
+
+/* Several round trips between data centres. */
+#define LOOKUP_US INT64_C(40000)
+/* After this time an agent that restarted beside a live target has seen a
+ * packet of each flow that is in use. */
+#define ADOPTION_US INT64_C(6000000)
+
+static bool
+is_sure(const struct GbFlowAgent *self, int64_t now_us)
+{
+    return now_us - self->started_us >= ADOPTION_US;
+}
+
+static void
+remember_owner(struct GbFlowAgent *self, const struct GbFlowKey *key,
+               uint32_t owner_ipv4, int64_t now_us)
+{
+    struct GbPacketFlow *flow = GbPacketFlowTable_Find(&self->flows, key);
+
+    if (flow == NULL) {
+        flow = GbPacketFlowTable_Add(&self->flows, key, now_us);
+    }
+    if (flow == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_FLOWS_TABLE_FULL, 1);
+        return;
+    }
+    GbFlowLoad_End(self, flow);
+    flow->state = GB_PACKET_FLOW_ELSEWHERE;
+    flow->owner_ipv4 = owner_ipv4;
+}
+
+static void
+pass_on_held(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+             uint32_t owner_ipv4)
+{
+    GbFlowAdmission_PassOn(self, &lookup->packet, owner_ipv4,
+                           lookup->balancer_ipv4);
+    GbFlowLookups_Close(&self->lookups, lookup);
+}
+
+static void
+give_up(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
+{
+    bool is_certain = lookup->denied == lookup->asked;
+
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_NOT_LOCATED, 1);
+    if (is_certain && (lookup->packet.flags & GB_PACKET_RST) == 0) {
+        GbFlowAgent_Record(self, GB_FLOW_DECISION_LOST, &lookup->packet.key, 0,
+                           0, 0);
+        GbFlowAgent_Reset(self, &lookup->packet);
+    }
+    GbFlowLookups_Close(&self->lookups, lookup);
+}
+
+static void
+end_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
+{
+    if (lookup->unsure_ipv4 != 0) {
+        pass_on_held(self, lookup, lookup->unsure_ipv4);
+        return;
+    }
+    give_up(self, lookup);
+}
+
+void
+GbFlowLocation_Find(struct GbFlowAgent *self, struct GbPacket *packet,
+                    uint32_t balancer_ipv4)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_ASK};
+    struct GbFlowLookup *lookup;
+
+    if (packet->hops >= GB_FLOW_HOPS_MAX ||
+        GbFlowLookups_Find(&self->lookups, &packet->key) != NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_PACKETS_HOPS_EXCEEDED, 1);
+        return;
+    }
+    lookup = GbFlowLookups_Open(&self->lookups, packet, now_us + LOOKUP_US);
+    if (lookup == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_REFUSED, 1);
+        return;
+    }
+    lookup->balancer_ipv4 = balancer_ipv4;
+    lookup->asked = self->pool.count;
+    notice.service_id = self->config.service_id;
+    notice.key = packet->key;
+    for (uint32_t i = 0; i < self->pool.count; i++) {
+        self->port->klass->notify(self->port, &notice,
+                                  self->pool.members[i].ipv4);
+    }
+    if (lookup->asked == 0) {
+        end_lookup(self, lookup);
+    }
+}
+
+void
+GbFlowLocation_Asked(struct GbFlowAgent *self, uint32_t from_ipv4,
+                     const struct GbFlowNotice *notice)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    const struct GbPacketFlow *flow =
+        GbPacketFlowTable_Find(&self->flows, &notice->key);
+    struct GbFlowNotice answer = *notice;
+
+    if (flow != NULL && flow->state != GB_PACKET_FLOW_ELSEWHERE) {
+        answer.kind = GB_FLOW_NOTICE_OWNER;
+        answer.owner_ipv4 = self->config.own_ipv4;
+    }
+    else if (flow != NULL && flow->owner_ipv4 != from_ipv4) {
+        answer.kind = GB_FLOW_NOTICE_OWNER;
+        answer.owner_ipv4 = flow->owner_ipv4;
+    }
+    else {
+        answer.kind = is_sure(self, now_us) ? GB_FLOW_NOTICE_NOT_OWNED
+                                            : GB_FLOW_NOTICE_UNSURE;
+    }
+    self->port->klass->notify(self->port, &answer, from_ipv4);
+}
+
+void
+GbFlowLocation_Answered(struct GbFlowAgent *self, uint32_t from_ipv4,
+                        const struct GbFlowNotice *notice)
+{
+    struct GbFlowLookup *lookup =
+        GbFlowLookups_Find(&self->lookups, &notice->key);
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    if (lookup == NULL) {
+        return;
+    }
+    switch (notice->kind) {
+    case GB_FLOW_NOTICE_OWNER:
+        GbCounters_Add(self->counters, GB_COUNTER_FLOWS_LOCATED, 1);
+        GbFlowAgent_Record(self, GB_FLOW_DECISION_LOCATED, &notice->key,
+                           notice->owner_ipv4, 0, 0);
+        remember_owner(self, &notice->key, notice->owner_ipv4, now_us);
+        pass_on_held(self, lookup, notice->owner_ipv4);
+        return;
+    case GB_FLOW_NOTICE_UNSURE:
+        lookup->unsure_ipv4 = from_ipv4;
+        break;
+    default:
+        lookup->denied++;
+        break;
+    }
+    if (lookup->denied == lookup->asked) {
+        end_lookup(self, lookup);
+    }
+}
+
+void
+GbFlowLocation_Tick(struct GbFlowAgent *self, int64_t now_us)
+{
+    struct GbFlowLookup *lookup;
+
+    while ((lookup = GbFlowLookups_Due(&self->lookups, now_us)) != NULL) {
+        end_lookup(self, lookup);
+    }
+}
--- /dev/null
+++ b/src/coordination/flows/flow_lookup.c
@@ -0,0 +1,102 @@
+#include "coordination/flows/flow_lookup.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "state/timer_queue.h"
+
+void
+GbFlowLookups_Init(struct GbFlowLookups *self)
+{
+    memset(self, 0, sizeof(*self));
+}
+
+void
+GbFlowLookups_Finish(struct GbFlowLookups *self)
+{
+    g_free(self->items);
+    self->items = NULL;
+}
+
+struct GbFlowLookup *
+GbFlowLookups_Find(struct GbFlowLookups *self, const struct GbFlowKey *key)
+{
+    if (self->open_count == 0) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < GB_FLOW_LOOKUPS_MAX; i++) {
+        if (self->items[i].is_open &&
+            GbFlowKey_Equal(&self->items[i].packet.key, key)) {
+            return &self->items[i];
+        }
+    }
+    return NULL;
+}
+
+struct GbFlowLookup *
+GbFlowLookups_Open(struct GbFlowLookups *self, const struct GbPacket *packet,
+                   int64_t until_us)
+{
+    struct GbFlowLookup *lookup;
+    uint32_t at = 0;
+
+    if (self->open_count == GB_FLOW_LOOKUPS_MAX ||
+        packet->size_bytes > GB_FLOW_LOOKUP_PACKET_BYTES) {
+        return NULL;
+    }
+    if (self->items == NULL) {
+        self->items = g_new0(struct GbFlowLookup, GB_FLOW_LOOKUPS_MAX);
+    }
+    while (self->items[at].is_open) {
+        at++;
+    }
+    lookup = &self->items[at];
+    lookup->is_open = true;
+    lookup->packet = *packet;
+    memcpy(lookup->bytes, packet->bytes, packet->size_bytes);
+    lookup->packet.bytes = lookup->bytes;
+    lookup->balancer_ipv4 = 0;
+    lookup->asked = 0;
+    lookup->denied = 0;
+    lookup->unsure_ipv4 = 0;
+    lookup->until_us = until_us;
+    self->open_count++;
+    return lookup;
+}
+
+void
+GbFlowLookups_Close(struct GbFlowLookups *self, struct GbFlowLookup *lookup)
+{
+    lookup->is_open = false;
+    self->open_count--;
+}
+
+struct GbFlowLookup *
+GbFlowLookups_Due(struct GbFlowLookups *self, int64_t now_us)
+{
+    if (self->open_count == 0) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < GB_FLOW_LOOKUPS_MAX; i++) {
+        if (self->items[i].is_open && self->items[i].until_us <= now_us) {
+            return &self->items[i];
+        }
+    }
+    return NULL;
+}
+
+int64_t
+GbFlowLookups_NextUs(const struct GbFlowLookups *self)
+{
+    int64_t next_us = GB_TIMER_NEVER;
+
+    if (self->open_count == 0) {
+        return next_us;
+    }
+    for (uint32_t i = 0; i < GB_FLOW_LOOKUPS_MAX; i++) {
+        if (self->items[i].is_open) {
+            next_us = MIN(next_us, self->items[i].until_us);
+        }
+    }
+    return next_us;
+}
--- /dev/null
+++ b/src/coordination/flows/flow_target.c
@@ -0,0 +1,60 @@
+#include "coordination/flows/flow_target.h"
+
+#include <string.h>
+
+/* A single opening packet without answer may be a lost datagram. */
+#define UNANSWERED_MIN 2
+/* A target answers an opening packet within a millisecond unless its machine
+ * is busy. */
+#define SILENCE_US INT64_C(80000)
+/* After this time one opening packet tries the target again. */
+#define SUSPECT_US INT64_C(400000)
+#define REFUSING_US INT64_C(100000)
+
+void
+GbFlowTarget_Init(struct GbFlowTarget *self)
+{
+    memset(self, 0, sizeof(*self));
+}
+
+bool
+GbFlowTarget_Opened(struct GbFlowTarget *self, int64_t now_us)
+{
+    if (self->unanswered++ == 0) {
+        self->first_unanswered_us = now_us;
+    }
+    if (self->unanswered < UNANSWERED_MIN ||
+        now_us - self->first_unanswered_us < SILENCE_US) {
+        return false;
+    }
+    self->suspect_until_us = now_us + SUSPECT_US;
+    return true;
+}
+
+void
+GbFlowTarget_Answered(struct GbFlowTarget *self)
+{
+    self->unanswered = 0;
+    self->suspect_until_us = 0;
+}
+
+void
+GbFlowTarget_Refused(struct GbFlowTarget *self, int64_t now_us)
+{
+    self->unanswered = 0;
+    self->suspect_until_us = 0;
+    self->refusing_until_us = now_us + REFUSING_US;
+}
+
+bool
+GbFlowTarget_IsUsable(const struct GbFlowTarget *self, int64_t now_us)
+{
+    return now_us >= self->suspect_until_us &&
+           now_us >= self->refusing_until_us;
+}
+
+bool
+GbFlowTarget_IsSilent(const struct GbFlowTarget *self, int64_t now_us)
+{
+    return now_us < self->suspect_until_us;
+}
--- /dev/null
+++ b/src/coordination/flows/steering.c
@@ -0,0 +1,235 @@
+#include "coordination/flows/steering.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* A flow without packets for longer is not missed in the cache. */
+#define CACHE_IDLE_US INT64_C(5000000)
+/* Routes that were confirmed within this time prove that an address has no
+ * route. */
+#define CONFIRMED_US INT64_C(1000000)
+
+/* Leaves out suspect instances and, if asked, other data centres. */
+struct AgentFilter {
+    struct GbInstanceFilter super;
+    const struct GbSuspicion *suspicion;
+    int64_t now_us;
+    /* NULL for any. */
+    const char *data_centre;
+};
+
+static bool
+is_excluded(const struct GbInstanceFilter *filter,
+            const struct GbInstance *instance)
+{
+    const struct AgentFilter *self = (const struct AgentFilter *)filter;
+
+    if (self->data_centre != NULL &&
+        strcmp(self->data_centre, instance->data_centre) != 0) {
+        return true;
+    }
+    return GbSuspicion_IsSuspect(self->suspicion, instance->id, self->now_us);
+}
+
+/* Agent by rank: of the own data centre first, then of any, and suspect ones
+ * last. */
+static const struct GbInstance *
+rank_agent(struct GbSteering *self, uint32_t service_id,
+           const struct GbFlowKey *key, int64_t now_us)
+{
+    struct AgentFilter filter = {
+        {is_excluded}, &self->suspicion, now_us, self->data_centre};
+    const struct GbCandidates *candidates =
+        GbPacketView_Candidates(self->view, service_id);
+    uint64_t flow_id = GbFlowKey_Hash(key);
+    const struct GbInstance *instance;
+
+    if (candidates == NULL) {
+        return NULL;
+    }
+    instance = GbPlacement_Rank(candidates, flow_id, 0, &filter.super);
+    if (instance == NULL) {
+        filter.data_centre = NULL;
+        instance = GbPlacement_Rank(candidates, flow_id, 0, &filter.super);
+    }
+    if (instance == NULL) {
+        instance = GbPlacement_Rank(candidates, flow_id, 0, NULL);
+    }
+    return instance;
+}
+
+static const struct GbInstance *
+find_by_ipv4(const struct GbSteering *self, uint32_t ipv4)
+{
+    const struct GbInstanceList *list = self->view->list;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (list->instances[i].address.ipv4 == ipv4) {
+            return &list->instances[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+record(struct GbSteering *self, enum GbFlowDecisionKind kind,
+       const struct GbPacket *packet, uint32_t agent_ipv4)
+{
+    struct GbFlowDecision decision = {.kind = kind, .key = packet->key};
+
+    decision.agent_ipv4 = agent_ipv4;
+    decision.routes_version =
+        self->view != NULL ? self->view->routes->version : 0;
+    self->port->klass->decided(self->port, &decision);
+}
+
+/* Only an opening packet is answered, and only with routes that are known to
+ * be current: a flow of a newer route may be open. */
+static void
+handle_no_route(struct GbSteering *self, const struct GbPacket *packet,
+                int64_t now_us)
+{
+    GbCounters_Add(self->counters, GB_COUNTER_PACKETS_NO_ROUTE, 1);
+    if (!GbPacket_IsOpening(packet) ||
+        now_us - self->confirmed_us > CONFIRMED_US) {
+        return;
+    }
+    record(self, GB_FLOW_DECISION_NO_ROUTE, packet, 0);
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_RESET, 1);
+    self->port->klass->reset(self->port, &packet->key, packet->sequence);
+}
+
+static bool
+is_from_client(const struct GbPacket *packet)
+{
+    uint8_t flags = packet->flags;
+
+    return (flags & GB_PACKET_RETURNED) == 0 &&
+           (flags & (GB_PACKET_SYN | GB_PACKET_ACK)) !=
+               (GB_PACKET_SYN | GB_PACKET_ACK);
+}
+
+/* Agent that a flow without entry goes to, or whose agent is suspect. */
+static uint32_t
+choose_agent(struct GbSteering *self, const struct GbPacket *packet,
+             int64_t now_us)
+{
+    const struct GbInstance *instance =
+        rank_agent(self, packet->service_id, &packet->key, now_us);
+
+    if (instance == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_PACKETS_NO_AGENT, 1);
+        return 0;
+    }
+    if (GbFlowCache_Put(&self->cache, &packet->key, instance->address.ipv4,
+                        now_us, now_us - CACHE_IDLE_US)) {
+        GbCounters_Add(self->counters, GB_COUNTER_FLOWS_EVICTED, 1);
+    }
+    if (GbPacket_IsOpening(packet) &&
+        GbSuspicion_Sent(&self->suspicion, instance->id, now_us)) {
+        GbCounters_Add(self->counters, GB_COUNTER_INSTANCES_SUSPECTED, 1);
+    }
+    record(self, GB_FLOW_DECISION_STEERED, packet, instance->address.ipv4);
+    return instance->address.ipv4;
+}
+
+/* Whether a further copy of an opening packet should not go where the first
+ * one went. */
+static bool
+is_agent_lost(struct GbSteering *self, uint32_t agent_ipv4, int64_t now_us)
+{
+    const struct GbInstance *instance = find_by_ipv4(self, agent_ipv4);
+
+    if (instance == NULL) {
+        return true;
+    }
+    return GbSuspicion_IsSuspect(&self->suspicion, instance->id, now_us);
+}
+
+void
+GbSteering_Init(struct GbSteering *self, struct GbPacketPort *port,
+                const char *data_centre, uint32_t cache_capacity,
+                struct GbClock *clock, struct GbCounters *counters)
+{
+    memset(self, 0, sizeof(*self));
+    self->port = port;
+    self->clock = clock;
+    self->counters = counters;
+    g_strlcpy(self->data_centre, data_centre, sizeof(self->data_centre));
+    self->confirmed_us = INT64_MIN / 2;
+    GbSuspicion_Init(&self->suspicion);
+    GbFlowCache_Init(&self->cache, cache_capacity);
+}
+
+void
+GbSteering_Finish(struct GbSteering *self)
+{
+    GbFlowCache_Finish(&self->cache);
+    GbSuspicion_Finish(&self->suspicion);
+    GbPacketView_Unref(self->view);
+}
+
+void
+GbSteering_SetView(struct GbSteering *self, struct GbPacketView *view)
+{
+    GbPacketView_Unref(self->view);
+    self->view = view;
+    GbSuspicion_KeepListed(&self->suspicion, view->list);
+}
+
+void
+GbSteering_Confirm(struct GbSteering *self)
+{
+    self->confirmed_us = GbClock_MonotonicUs(self->clock);
+}
+
+void
+GbSteering_Receive(struct GbSteering *self, struct GbPacket *packet)
+{
+    struct GbAddress service = {packet->key.service_ipv4,
+                                packet->key.service_port};
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    const struct GbRoute *route;
+    uint32_t agent_ipv4;
+
+    if (self->view == NULL || !is_from_client(packet)) {
+        GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
+        return;
+    }
+    route = GbRouteTable_Find(self->view->routes, &service);
+    if (route == NULL) {
+        handle_no_route(self, packet, now_us);
+        return;
+    }
+    packet->service_id = route->service_id;
+    packet->hops = 0;
+    agent_ipv4 = GbFlowCache_Find(&self->cache, &packet->key, now_us);
+    if (agent_ipv4 == 0 || (GbPacket_IsOpening(packet) &&
+                            is_agent_lost(self, agent_ipv4, now_us))) {
+        agent_ipv4 = choose_agent(self, packet, now_us);
+    }
+    if (agent_ipv4 != 0) {
+        GbCounters_Add(self->counters, GB_COUNTER_PACKETS_FORWARDED, 1);
+        self->port->klass->forward(self->port, packet, agent_ipv4);
+    }
+}
+
+void
+GbSteering_Heard(struct GbSteering *self, uint32_t from_ipv4,
+                 const struct GbFlowNotice *notice)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    const struct GbInstance *instance;
+
+    if (self->view == NULL) {
+        return;
+    }
+    instance = find_by_ipv4(self, from_ipv4);
+    if (instance != NULL) {
+        GbSuspicion_Heard(&self->suspicion, instance->id);
+    }
+    if (notice->kind == GB_FLOW_NOTICE_OWNER) {
+        GbFlowCache_Put(&self->cache, &notice->key, notice->owner_ipv4, now_us,
+                        now_us - CACHE_IDLE_US);
+    }
+}
--- /dev/null
+++ b/src/coordination/flows/view_keeper.h
@@ -0,0 +1,65 @@
+#ifndef GB_COORDINATION_FLOWS_VIEW_KEEPER_H
+#define GB_COORDINATION_FLOWS_VIEW_KEEPER_H
+
+#include <glib.h>
+
+#include "state/clock.h"
+#include "state/packet_view.h"
+
+/* What a process knows of routes and instances, and how new it is. Neither
+ * ever goes back: routes are replaced by those of a higher version only, an
+ * entry by one of a higher revision only. */
+struct GbViewKeeper {
+    struct GbClock *clock;
+    struct GbRouteTable *routes;
+    /* Struct Entry by instance id. */
+    GHashTable *entries;
+    /* Everything up to this revision of the platform is included. */
+    uint64_t revision;
+    /* Whether the instance list was ever read as a whole. */
+    bool has_list;
+    bool is_changed;
+};
+
+void GbViewKeeper_Init(struct GbViewKeeper *self, struct GbClock *clock);
+
+void GbViewKeeper_Finish(struct GbViewKeeper *self);
+
+/* Takes routes over if their version is higher. It takes a reference of its
+ * own. Returns whether they were taken. */
+bool GbViewKeeper_SetRoutes(struct GbViewKeeper *self,
+                            struct GbRouteTable *routes);
+
+/* An instance was written at this revision. */
+void GbViewKeeper_Put(struct GbViewKeeper *self,
+                      const struct GbInstance *instance, uint64_t revision);
+
+/* The entry was removed at this revision. One that was not leaving is kept
+ * for a short time: entries may lapse and come back. */
+void GbViewKeeper_Remove(struct GbViewKeeper *self, uint64_t instance_id,
+                         uint64_t revision);
+
+/* Takes a whole list that was read at this revision: entries that it does not
+ * name and that are not newer are removed. */
+void GbViewKeeper_SetList(struct GbViewKeeper *self,
+                          const struct GbInstanceList *list);
+
+/* Everything up to this revision was included. */
+void GbViewKeeper_Advance(struct GbViewKeeper *self, uint64_t revision);
+
+/* Entries as a new list, whose version is the revision. */
+struct GbInstanceList *GbViewKeeper_List(const struct GbViewKeeper *self);
+
+/* New view if anything has changed since the last call and both routes and
+ * list are known; NULL otherwise. The caller gets its reference. */
+struct GbPacketView *GbViewKeeper_TakeView(struct GbViewKeeper *self);
+
+/* Whether routes and list are known. */
+bool GbViewKeeper_IsComplete(const struct GbViewKeeper *self);
+
+int64_t GbViewKeeper_NextTimerUs(const struct GbViewKeeper *self);
+
+/* Drops entries that have not come back. */
+void GbViewKeeper_Tick(struct GbViewKeeper *self);
+
+#endif
--- /dev/null
+++ b/src/protocol/flow_notice_codec.c
@@ -0,0 +1,119 @@
+#include "protocol/flow_notice_codec.h"
+
+#include <string.h>
+
+#include "protocol/reader.h"
+#include "protocol/writer.h"
+
+/* Kind and service come before the fields of a kind. */
+#define HEAD_ITEMS 2
+#define KEY_ITEMS 4
+#define LOAD_ITEMS 4
+
+static void
+put_key(struct GbWriter *writer, const struct GbFlowKey *key)
+{
+    GbWriter_PutUint(writer, key->client_ipv4);
+    GbWriter_PutUint(writer, key->client_port);
+    GbWriter_PutUint(writer, key->service_ipv4);
+    GbWriter_PutUint(writer, key->service_port);
+}
+
+static void
+read_key(struct GbReader *reader, struct GbFlowKey *key)
+{
+    key->client_ipv4 = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
+    key->client_port = (uint16_t)GbReader_Uint(reader, UINT16_MAX);
+    key->service_ipv4 = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
+    key->service_port = (uint16_t)GbReader_Uint(reader, UINT16_MAX);
+}
+
+static void
+put_load(struct GbWriter *writer, const struct GbLoad *load)
+{
+    GbWriter_PutUint(writer, load->running);
+    GbWriter_PutUint(writer, load->queued);
+    GbWriter_PutUint(writer, load->capacity);
+    GbWriter_PutUint(writer, load->is_draining);
+}
+
+static void
+read_load(struct GbReader *reader, struct GbLoad *load)
+{
+    load->running = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
+    load->queued = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
+    load->capacity = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
+    load->is_draining = GbReader_Uint(reader, 1) == 1;
+}
+
+static uint32_t
+item_count(enum GbFlowNoticeKind kind)
+{
+    switch (kind) {
+    case GB_FLOW_NOTICE_LOAD:
+        return HEAD_ITEMS + LOAD_ITEMS;
+    case GB_FLOW_NOTICE_OWNER:
+        return HEAD_ITEMS + KEY_ITEMS + 1;
+    case GB_FLOW_NOTICE_REVISION:
+        return HEAD_ITEMS + 1;
+    default:
+        return HEAD_ITEMS + KEY_ITEMS;
+    }
+}
+
+uint32_t
+GbFlowNoticeCodec_Encode(const struct GbFlowNotice *notice, uint8_t *buffer,
+                         uint32_t capacity_bytes)
+{
+    struct GbWriter writer;
+
+    GbWriter_Init(&writer, buffer, capacity_bytes);
+    GbWriter_PutArray(&writer, item_count(notice->kind));
+    GbWriter_PutUint(&writer, notice->kind);
+    GbWriter_PutUint(&writer, notice->service_id);
+    switch (notice->kind) {
+    case GB_FLOW_NOTICE_LOAD:
+        put_load(&writer, &notice->load);
+        break;
+    case GB_FLOW_NOTICE_REVISION:
+        GbWriter_PutUint(&writer, notice->revision);
+        break;
+    case GB_FLOW_NOTICE_OWNER:
+        put_key(&writer, &notice->key);
+        GbWriter_PutUint(&writer, notice->owner_ipv4);
+        break;
+    default:
+        put_key(&writer, &notice->key);
+        break;
+    }
+    return GbWriter_Size(&writer);
+}
+
+enum GbProtocolStatus
+GbFlowNoticeCodec_Decode(struct GbFlowNotice *notice, const uint8_t *data,
+                         size_t size_bytes)
+{
+    struct GbReader reader;
+
+    memset(notice, 0, sizeof(*notice));
+    GbReader_Init(&reader, data, size_bytes);
+    notice->kind = (enum GbFlowNoticeKind)GbReader_Uint(
+        &reader, GB_FLOW_NOTICE_KIND_END - 1);
+    notice->service_id = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
+    switch (notice->kind) {
+    case GB_FLOW_NOTICE_LOAD:
+        read_load(&reader, &notice->load);
+        break;
+    case GB_FLOW_NOTICE_REVISION:
+        notice->revision = GbReader_Uint(&reader, UINT64_MAX);
+        break;
+    case GB_FLOW_NOTICE_OWNER:
+        read_key(&reader, &notice->key);
+        notice->owner_ipv4 = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
+        break;
+    default:
+        read_key(&reader, &notice->key);
+        break;
+    }
+    return GbReader_Finish(&reader) ? GB_PROTOCOL_OK : GB_PROTOCOL_MALFORMED;
+}
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -131,6 +131,49 @@
     [GB_COUNTER_FRAMES_TIMED_OUT] = {"frames_timed_out_total",
                                      "Connections closed before a whole frame "
                                      "had arrived."},
+    [GB_COUNTER_PACKETS_FORWARDED] =
+        {"packets_forwarded_total", "Packets of clients passed to an agent."},
+    [GB_COUNTER_PACKETS_DELIVERED] =
+        {"packets_delivered_total",
+         "Packets of clients passed to the target."},
+    [GB_COUNTER_PACKETS_REPLIED] =
+        {"packets_replied_total", "Packets of the target passed to clients."},
+    [GB_COUNTER_PACKETS_RETURNED] = {"packets_returned_total",
+                                     "Packets that the target gave back."},
+    [GB_COUNTER_PACKETS_NO_ROUTE] =
+        {"packets_no_route_total",
+         "Packets for an address that no route has."},
+    [GB_COUNTER_PACKETS_NO_AGENT] =
+        {"packets_no_agent_total",
+         "Packets of a service without usable agent."},
+    [GB_COUNTER_PACKETS_HOPS_EXCEEDED] =
+        {"packets_hops_exceeded_total",
+         "Packets dropped after too many agents."},
+    [GB_COUNTER_FLOWS_OPENED] =
+        {"flows_opened_total",
+         "Flows whose opening packet went to the target."},
+    [GB_COUNTER_FLOWS_HANDED_OVER] = {"flows_handed_over_total",
+                                      "Flows handed to another agent."},
+    [GB_COUNTER_FLOWS_ADOPTED] =
+        {"flows_adopted_total",
+         "Open flows found at the target after a restart."},
+    [GB_COUNTER_FLOWS_RESET] = {"flows_reset_total",
+                                "Resets sent to clients."},
+    [GB_COUNTER_FLOWS_EVICTED] =
+        {"flows_evicted_total",
+         "Flows in use that lost their entry in the cache."},
+    [GB_COUNTER_FLOWS_TABLE_FULL] =
+        {"flows_table_full_total",
+         "Flows not recorded because the table was full."},
+    [GB_COUNTER_FLOWS_LOCATED] = {"flows_located_total",
+                                  "Flows found at another agent by asking."},
+    [GB_COUNTER_FLOWS_NOT_LOCATED] = {"flows_not_located_total",
+                                      "Flows that no agent had."},
+    [GB_COUNTER_LOOKUPS_REFUSED] =
+        {"lookups_refused_total",
+         "Packets dropped because too many lookups were open."},
+    [GB_COUNTER_NOTICES_RECEIVED] = {"notices_received_total",
+                                     "Notices of other processes."},
 };
 
 void
--- /dev/null
+++ b/src/state/flow_notice.h
@@ -0,0 +1,38 @@
+#ifndef GB_STATE_FLOW_NOTICE_H
+#define GB_STATE_FLOW_NOTICE_H
+
+#include "state/message.h"
+#include "state/packet.h"
+
+enum GbFlowNoticeKind {
+    /* An agent says how loaded its target is. */
+    GB_FLOW_NOTICE_LOAD,
+    /* Names the agent that has a flow: to balancers, and as an answer. */
+    GB_FLOW_NOTICE_OWNER,
+    /* Asks whether the receiver has a flow. */
+    GB_FLOW_NOTICE_ASK,
+    /* Answers that the receiver does not have the flow. */
+    GB_FLOW_NOTICE_NOT_OWNED,
+    /* Answers that the receiver started too recently to know. */
+    GB_FLOW_NOTICE_UNSURE,
+    /* Says what the sender has read of the platform's state. */
+    GB_FLOW_NOTICE_REVISION,
+    GB_FLOW_NOTICE_KIND_END
+};
+
+/* Message about flows between the processes, decoded. Its sender is known by
+ * the address that it came from. */
+struct GbFlowNotice {
+    enum GbFlowNoticeKind kind;
+    uint32_t service_id;
+    /* All kinds but LOAD and REVISION. */
+    struct GbFlowKey key;
+    /* OWNER only: IPv4 address of the agent. */
+    uint32_t owner_ipv4;
+    /* LOAD only. */
+    struct GbLoad load;
+    /* REVISION only. */
+    uint64_t revision;
+};
+
+#endif
--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -17,9 +17,14 @@
     enum GbRole role;
     /* Name of the service of an agent's target; empty for a balancer. */
     char service[GB_NAME_BYTES];
+    /* GbRouteTable_ServiceId of that name; only set in lists for the
+     * forwarding of packets. */
+    uint32_t service_id;
     char data_centre[GB_NAME_BYTES];
     struct GbAddress address;
     uint32_t weight;
+    /* Time for which the target still starts up and is slow. */
+    uint32_t cold_ms;
     bool is_leaving;
 };
 
--- /dev/null
+++ b/src/state/packet_view.c
@@ -0,0 +1,103 @@
+#include "state/packet_view.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+static int
+compare_service_id(const void *a, const void *b)
+{
+    uint32_t id_a = ((const struct GbCandidates *)a)->service_id;
+    uint32_t id_b = ((const struct GbCandidates *)b)->service_id;
+
+    return (id_a > id_b) - (id_a < id_b);
+}
+
+static int
+compare_instance(const void *a, const void *b)
+{
+    const struct GbInstance *x = *(const struct GbInstance *const *)a;
+    const struct GbInstance *y = *(const struct GbInstance *const *)b;
+
+    if (x->service_id != y->service_id) {
+        return x->service_id < y->service_id ? -1 : 1;
+    }
+    return (x->id > y->id) - (x->id < y->id);
+}
+
+/* Groups the instances that are not leaving by service. All groups share one
+ * array of pointers, which the first group owns. */
+static void
+collect_candidates(struct GbPacketView *self)
+{
+    const struct GbInstanceList *list = self->list;
+    const struct GbInstance **sorted =
+        g_new(const struct GbInstance *, list->count);
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (!list->instances[i].is_leaving) {
+            sorted[count++] = &list->instances[i];
+        }
+    }
+    qsort(sorted, count, sizeof(*sorted), compare_instance);
+    self->candidates = g_new0(struct GbCandidates, count);
+    for (uint32_t i = 0; i < count; i++) {
+        struct GbCandidates *group;
+
+        if (i == 0 || sorted[i]->service_id != sorted[i - 1]->service_id) {
+            group = &self->candidates[self->candidates_count++];
+            group->service_id = sorted[i]->service_id;
+            group->instances = &sorted[i];
+        }
+        self->candidates[self->candidates_count - 1].count++;
+    }
+    if (count == 0) {
+        g_free(sorted);
+    }
+}
+
+struct GbPacketView *
+GbPacketView_New(struct GbRouteTable *routes, struct GbInstanceList *list)
+{
+    struct GbPacketView *self = g_new0(struct GbPacketView, 1);
+
+    self->reference_count = 1;
+    self->routes = GbRouteTable_Ref(routes);
+    self->list = GbInstanceList_Ref(list);
+    collect_candidates(self);
+    return self;
+}
+
+struct GbPacketView *
+GbPacketView_Ref(struct GbPacketView *self)
+{
+    g_atomic_int_inc(&self->reference_count);
+    return self;
+}
+
+void
+GbPacketView_Unref(struct GbPacketView *self)
+{
+    if (self == NULL || !g_atomic_int_dec_and_test(&self->reference_count)) {
+        return;
+    }
+    if (self->candidates_count > 0) {
+        g_free((gpointer)self->candidates[0].instances);
+    }
+    g_free(self->candidates);
+    GbInstanceList_Unref(self->list);
+    GbRouteTable_Unref(self->routes);
+    g_free(self);
+}
+
+const struct GbCandidates *
+GbPacketView_Candidates(const struct GbPacketView *self, uint32_t service_id)
+{
+    struct GbCandidates key = {.service_id = service_id};
+
+    if (self->candidates_count == 0) {
+        return NULL;
+    }
+    return bsearch(&key, self->candidates, self->candidates_count,
+                   sizeof(*self->candidates), compare_service_id);
+}
--- /dev/null
+++ b/src/state/route_table.c
@@ -0,0 +1,76 @@
+#include "state/route_table.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define SERVICE_ID_MASK 0xffffffU
+
+static int
+compare_address(const void *a, const void *b)
+{
+    const struct GbAddress *x = &((const struct GbRoute *)a)->address;
+    const struct GbAddress *y = &((const struct GbRoute *)b)->address;
+
+    if (x->ipv4 != y->ipv4) {
+        return x->ipv4 < y->ipv4 ? -1 : 1;
+    }
+    return (x->port > y->port) - (x->port < y->port);
+}
+
+uint32_t
+GbRouteTable_ServiceId(const char *name)
+{
+    uint32_t id = XXH32(name, strlen(name), 0) & SERVICE_ID_MASK;
+
+    return id != 0 ? id : 1;
+}
+
+struct GbRouteTable *
+GbRouteTable_New(uint64_t version, uint32_t idle_timeout_ms,
+                 const struct GbRoute *routes, uint32_t count)
+{
+    struct GbRouteTable *self = g_new0(struct GbRouteTable, 1);
+
+    self->reference_count = 1;
+    self->version = version;
+    self->idle_timeout_ms = idle_timeout_ms;
+    self->routes = g_new(struct GbRoute, count);
+    self->count = count;
+    if (count > 0) {
+        memcpy(self->routes, routes, count * sizeof(*routes));
+        qsort(self->routes, count, sizeof(*routes), compare_address);
+    }
+    return self;
+}
+
+struct GbRouteTable *
+GbRouteTable_Ref(struct GbRouteTable *self)
+{
+    g_atomic_int_inc(&self->reference_count);
+    return self;
+}
+
+void
+GbRouteTable_Unref(struct GbRouteTable *self)
+{
+    if (self == NULL || !g_atomic_int_dec_and_test(&self->reference_count)) {
+        return;
+    }
+    g_free(self->routes);
+    g_free(self);
+}
+
+const struct GbRoute *
+GbRouteTable_Find(const struct GbRouteTable *self,
+                  const struct GbAddress *address)
+{
+    struct GbRoute key = {.address = *address};
+
+    if (self->count == 0) {
+        return NULL;
+    }
+    return bsearch(&key, self->routes, self->count, sizeof(*self->routes),
+                   compare_address);
+}
--- /dev/null
+++ b/src/transport/flow_agent_task.c
@@ -0,0 +1,164 @@
+#include "transport/flow_agent_task.h"
+
+#include <stddef.h>
+
+#include "transport/mails.h"
+
+#define OF_MEMBER(pointer, member)                                            \
+    ((struct GbFlowAgentTask *)((char *)(pointer)-offsetof(                   \
+        struct GbFlowAgentTask, member)))
+
+/* Target packets go out through the socket that the target sends to, so that
+ * the target sees one address. */
+static void
+port_deliver(struct GbPacketPort *port, const struct GbPacket *packet)
+{
+    struct GbFlowAgentTask *self = OF_MEMBER(port, super.port);
+    static const struct GbBytes no_header = {NULL, 0};
+    struct GbBytes body = {packet->bytes, packet->size_bytes};
+
+    self->super.config.codec->klass->stamp(self->super.config.codec, packet);
+    self->outbound.super.klass->send(&self->outbound.super,
+                                     &self->target_address, no_header, body);
+}
+
+static const struct GbPacketPortClass GbFlowAgentTask_PortClass = {
+    .forward = GbPacketTask_Forward,
+    .deliver = port_deliver,
+    .reply = GbPacketTask_Reply,
+    .reset = GbPacketTask_Reset,
+    .notify = GbPacketTask_Notify,
+    .decided = GbPacketTask_Decided,
+};
+
+static void
+outbound_received(struct GbUdpListener *listener, const struct GbAddress *from,
+                  const uint8_t *data, size_t size_bytes)
+{
+    struct GbFlowAgentTask *self = OF_MEMBER(listener, outbound_listener);
+    const struct GbPacketCodec *codec = self->super.config.codec;
+    struct GbPacket packet;
+
+    (void)from;
+    /* The buffer belongs to the socket, which does not read it again. */
+    if (!codec->klass->decode(codec, true, (uint8_t *)data, size_bytes,
+                              &packet)) {
+        GbCounters_Add(&self->super.counters, GB_COUNTER_DATAGRAMS_MALFORMED,
+                       1);
+        return;
+    }
+    GbFlowAgent_FromTarget(&self->agent, &packet);
+}
+
+static void
+task_received(struct GbPacketTask *task, const struct GbAddress *from,
+              struct GbPacket *packet)
+{
+    GbFlowAgent_Receive(&((struct GbFlowAgentTask *)task)->agent, from->ipv4,
+                        packet);
+}
+
+static void
+task_heard(struct GbPacketTask *task, const struct GbAddress *from,
+           const struct GbFlowNotice *notice)
+{
+    GbFlowAgent_Heard(&((struct GbFlowAgentTask *)task)->agent, from->ipv4,
+                      notice);
+}
+
+static void
+task_set_view(struct GbPacketTask *task, struct GbPacketView *view)
+{
+    GbFlowAgent_SetView(&((struct GbFlowAgentTask *)task)->agent, view);
+}
+
+static enum GbTransportStatus
+task_open(struct GbTask *task, struct GbLastMessage *last)
+{
+    struct GbFlowAgentTask *self = (struct GbFlowAgentTask *)task;
+    enum GbTransportStatus status = GbPacketTask_Open(task, last);
+
+    if (status != GB_TRANSPORT_OK) {
+        return status;
+    }
+    return GbUdp_Open(&self->outbound, &self->outbound_address, false,
+                      task->base, &self->outbound_listener,
+                      &self->super.counters, last);
+}
+
+static void
+task_receive(struct GbTask *task, struct GbMail *mail)
+{
+    if (mail->klass == &GbDrainMail_Class) {
+        GbFlowAgent_Drain(&((struct GbFlowAgentTask *)task)->agent);
+        return;
+    }
+    GbPacketTask_Receive(task, mail);
+}
+
+static int64_t
+task_next_timer_us(struct GbTask *task)
+{
+    struct GbFlowAgentTask *self = (struct GbFlowAgentTask *)task;
+
+    return MIN(GbPacketTask_NextTimerUs(task),
+               GbFlowAgent_NextTimerUs(&self->agent));
+}
+
+static void
+task_tick(struct GbTask *task)
+{
+    GbPacketTask_Tick(task);
+    GbFlowAgent_Tick(&((struct GbFlowAgentTask *)task)->agent);
+}
+
+static void
+task_flush(struct GbTask *task)
+{
+    struct GbFlowAgentTask *self = (struct GbFlowAgentTask *)task;
+
+    GbFlowAgent_Flush(&self->agent);
+    GbUdp_Flush(&self->outbound);
+    GbPacketTask_Flush(task);
+}
+
+static void
+task_close(struct GbTask *task)
+{
+    struct GbFlowAgentTask *self = (struct GbFlowAgentTask *)task;
+
+    GbUdp_Close(&self->outbound);
+    GbPacketTask_Close(task);
+    GbFlowAgent_Finish(&self->agent);
+}
+
+static const struct GbPacketTaskClass GbFlowAgentTask_Class = {
+    .super =
+        {
+            .name = "flow_agent",
+            .open = task_open,
+            .receive = task_receive,
+            .next_timer_us = task_next_timer_us,
+            .tick = task_tick,
+            .flush = task_flush,
+            .close = task_close,
+        },
+    .received = task_received,
+    .heard = task_heard,
+    .set_view = task_set_view,
+};
+
+void
+GbFlowAgentTask_Init(struct GbFlowAgentTask *self,
+                     const struct GbFlowAgentTaskConfig *config,
+                     struct GbClock *clock)
+{
+    GbPacketTask_Init(&self->super, &GbFlowAgentTask_Class,
+                      &GbFlowAgentTask_PortClass, &config->super, clock);
+    self->outbound_address = config->outbound;
+    self->target_address = config->target;
+    self->outbound_listener.received = outbound_received;
+    self->outbound.fd = -1;
+    GbFlowAgent_Init(&self->agent, &config->agent, &self->super.port, clock,
+                     &self->super.counters);
+}
--- /dev/null
+++ b/src/transport/flow_log.c
@@ -0,0 +1,64 @@
+#include "transport/flow_log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "transport/log.h"
+
+#define PERIOD_US INT64_C(1000000)
+
+/* Lines a second. Routine decisions have less than refusals and losses. */
+static const uint32_t budgets[GB_FLOW_DECISION_KIND_END] = {
+    [GB_FLOW_DECISION_OPENED] = 4,   [GB_FLOW_DECISION_HANDED_OVER] = 4,
+    [GB_FLOW_DECISION_REFUSED] = 20, [GB_FLOW_DECISION_RETURNED] = 20,
+    [GB_FLOW_DECISION_LOCATED] = 10, [GB_FLOW_DECISION_LOST] = 20,
+    [GB_FLOW_DECISION_ADOPTED] = 5,  [GB_FLOW_DECISION_NO_ROUTE] = 10,
+    [GB_FLOW_DECISION_STEERED] = 2,  [GB_FLOW_DECISION_DROPPED] = 10,
+};
+
+static void
+start_period(struct GbFlowLog *self, int64_t now_us)
+{
+    for (int i = 0; i < GB_FLOW_DECISION_KIND_END; i++) {
+        if (self->left_out[i] > 0) {
+            GbLog_Event(GB_LOG_INFO, "decisions_left_out",
+                        "decision=%s count=%" PRIu32,
+                        GbFlowDecision_Name((enum GbFlowDecisionKind)i),
+                        self->left_out[i]);
+        }
+    }
+    memset(self->written, 0, sizeof(self->written));
+    memset(self->left_out, 0, sizeof(self->left_out));
+    self->period_start_us = now_us;
+}
+
+void
+GbFlowLog_Init(struct GbFlowLog *self, struct GbClock *clock)
+{
+    memset(self, 0, sizeof(*self));
+    self->clock = clock;
+}
+
+void
+GbFlowLog_Write(struct GbFlowLog *self, const struct GbFlowDecision *decision)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbAddress agent = {decision->agent_ipv4, 0};
+    char key_text[GB_FLOW_KEY_TEXT_BYTES];
+    char agent_text[GB_ADDRESS_TEXT_BYTES];
+
+    if (now_us - self->period_start_us >= PERIOD_US) {
+        start_period(self, now_us);
+    }
+    if (self->written[decision->kind] >= budgets[decision->kind]) {
+        self->left_out[decision->kind]++;
+        return;
+    }
+    self->written[decision->kind]++;
+    GbLog_Event(GB_LOG_INFO, GbFlowDecision_Name(decision->kind),
+                "flow=%s agent=%s in_flight=%" PRIu32 " slots=%" PRIu32
+                " routes=%" PRIu64,
+                GbFlowKey_Format(&decision->key, key_text),
+                GbAddress_Format(&agent, agent_text), decision->in_flight,
+                decision->slots, decision->routes_version);
+}
--- /dev/null
+++ b/src/transport/flow_log.h
@@ -0,0 +1,21 @@
+#ifndef GB_TRANSPORT_FLOW_LOG_H
+#define GB_TRANSPORT_FLOW_LOG_H
+
+#include "coordination/flows/flow_decision.h"
+#include "state/clock.h"
+
+/* Writes decisions about flows to the log, each kind within a budget of lines
+ * a second. What exceeds it is counted and reported once a second. */
+struct GbFlowLog {
+    struct GbClock *clock;
+    int64_t period_start_us;
+    uint32_t written[GB_FLOW_DECISION_KIND_END];
+    uint32_t left_out[GB_FLOW_DECISION_KIND_END];
+};
+
+void GbFlowLog_Init(struct GbFlowLog *self, struct GbClock *clock);
+
+void GbFlowLog_Write(struct GbFlowLog *self,
+                     const struct GbFlowDecision *decision);
+
+#endif
--- /dev/null
+++ b/src/transport/packet_mails.c
@@ -0,0 +1,72 @@
+#include "transport/packet_mails.h"
+
+static void
+free_plain(struct GbMail *mail)
+{
+    g_free(mail);
+}
+
+static void
+free_view(struct GbMail *mail)
+{
+    GbPacketView_Unref(((struct GbPacketViewMail *)mail)->view);
+    g_free(mail);
+}
+
+const struct GbMailClass GbPacketViewMail_Class = {.free = free_view};
+const struct GbMailClass GbConfirmMail_Class = {.free = free_plain};
+const struct GbMailClass GbRevisionNoticeMail_Class = {.free = free_plain};
+const struct GbMailClass GbRevisionHeardMail_Class = {.free = free_plain};
+const struct GbMailClass GbPacketReportMail_Class = {.free = free_plain};
+
+struct GbMail *
+GbPacketViewMail_New(struct GbPacketView *view)
+{
+    struct GbPacketViewMail *mail = g_new0(struct GbPacketViewMail, 1);
+
+    mail->super.klass = &GbPacketViewMail_Class;
+    mail->view = GbPacketView_Ref(view);
+    return &mail->super;
+}
+
+struct GbMail *
+GbConfirmMail_New(void)
+{
+    struct GbConfirmMail *mail = g_new0(struct GbConfirmMail, 1);
+
+    mail->super.klass = &GbConfirmMail_Class;
+    return &mail->super;
+}
+
+struct GbMail *
+GbRevisionNoticeMail_New(uint32_t peer_ipv4, uint64_t revision)
+{
+    struct GbRevisionNoticeMail *mail = g_new0(struct GbRevisionNoticeMail, 1);
+
+    mail->super.klass = &GbRevisionNoticeMail_Class;
+    mail->peer_ipv4 = peer_ipv4;
+    mail->revision = revision;
+    return &mail->super;
+}
+
+struct GbMail *
+GbRevisionHeardMail_New(uint32_t peer_ipv4, uint64_t revision)
+{
+    struct GbRevisionHeardMail *mail = g_new0(struct GbRevisionHeardMail, 1);
+
+    mail->super.klass = &GbRevisionHeardMail_Class;
+    mail->peer_ipv4 = peer_ipv4;
+    mail->revision = revision;
+    return &mail->super;
+}
+
+struct GbMail *
+GbPacketReportMail_New(const struct GbCounters *counters, int64_t quiet_us)
+{
+    struct GbPacketReportMail *mail = g_new0(struct GbPacketReportMail, 1);
+
+    mail->super.klass = &GbPacketReportMail_Class;
+    mail->counters = *counters;
+    mail->quiet_us = quiet_us;
+    return &mail->super;
+}
--- /dev/null
+++ b/src/transport/packet_mails.h
@@ -0,0 +1,57 @@
+#ifndef GB_TRANSPORT_PACKET_MAILS_H
+#define GB_TRANSPORT_PACKET_MAILS_H
+
+#include "state/counters.h"
+#include "state/packet_view.h"
+#include "transport/task.h"
+
+/* Messages between the tasks of a process that forwards packets. */
+
+/* From control to the packet task: the view to act on. */
+struct GbPacketViewMail {
+    struct GbMail super;
+    struct GbPacketView *view;
+};
+
+/* From control to the packet task: the view is current. */
+struct GbConfirmMail {
+    struct GbMail super;
+};
+
+/* From control to the packet task: tell another process of a revision. */
+struct GbRevisionNoticeMail {
+    struct GbMail super;
+    uint32_t peer_ipv4;
+    uint64_t revision;
+};
+
+/* From the packet task to control: another process has this revision. */
+struct GbRevisionHeardMail {
+    struct GbMail super;
+    uint32_t peer_ipv4;
+    uint64_t revision;
+};
+
+/* From the packet task to control. */
+struct GbPacketReportMail {
+    struct GbMail super;
+    struct GbCounters counters;
+    /* Time since the last packet of a client. */
+    int64_t quiet_us;
+};
+
+extern const struct GbMailClass GbPacketViewMail_Class;
+extern const struct GbMailClass GbConfirmMail_Class;
+extern const struct GbMailClass GbRevisionNoticeMail_Class;
+extern const struct GbMailClass GbRevisionHeardMail_Class;
+extern const struct GbMailClass GbPacketReportMail_Class;
+
+/* Takes its own reference of view. */
+struct GbMail *GbPacketViewMail_New(struct GbPacketView *view);
+struct GbMail *GbConfirmMail_New(void);
+struct GbMail *GbRevisionNoticeMail_New(uint32_t peer_ipv4, uint64_t revision);
+struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4, uint64_t revision);
+struct GbMail *GbPacketReportMail_New(const struct GbCounters *counters,
+                                      int64_t quiet_us);
+
+#endif
--- /dev/null
+++ b/src/transport/steering_task.c
@@ -0,0 +1,87 @@
+#include "transport/steering_task.h"
+
+#include "transport/packet_mails.h"
+
+static void
+port_deliver(struct GbPacketPort *port, const struct GbPacket *packet)
+{
+    /* A balancer has no target. */
+    (void)port;
+    (void)packet;
+}
+
+static const struct GbPacketPortClass GbSteeringTask_PortClass = {
+    .forward = GbPacketTask_Forward,
+    .deliver = port_deliver,
+    .reply = GbPacketTask_Reply,
+    .reset = GbPacketTask_Reset,
+    .notify = GbPacketTask_Notify,
+    .decided = GbPacketTask_Decided,
+};
+
+static void
+task_received(struct GbPacketTask *task, const struct GbAddress *from,
+              struct GbPacket *packet)
+{
+    (void)from;
+    GbSteering_Receive(&((struct GbSteeringTask *)task)->steering, packet);
+}
+
+static void
+task_heard(struct GbPacketTask *task, const struct GbAddress *from,
+           const struct GbFlowNotice *notice)
+{
+    GbSteering_Heard(&((struct GbSteeringTask *)task)->steering, from->ipv4,
+                     notice);
+}
+
+static void
+task_set_view(struct GbPacketTask *task, struct GbPacketView *view)
+{
+    GbSteering_SetView(&((struct GbSteeringTask *)task)->steering, view);
+}
+
+static void
+task_receive(struct GbTask *task, struct GbMail *mail)
+{
+    if (mail->klass == &GbConfirmMail_Class) {
+        GbSteering_Confirm(&((struct GbSteeringTask *)task)->steering);
+        return;
+    }
+    GbPacketTask_Receive(task, mail);
+}
+
+static void
+task_close(struct GbTask *task)
+{
+    GbPacketTask_Close(task);
+    GbSteering_Finish(&((struct GbSteeringTask *)task)->steering);
+}
+
+static const struct GbPacketTaskClass GbSteeringTask_Class = {
+    .super =
+        {
+            .name = "steering",
+            .open = GbPacketTask_Open,
+            .receive = task_receive,
+            .next_timer_us = GbPacketTask_NextTimerUs,
+            .tick = GbPacketTask_Tick,
+            .flush = GbPacketTask_Flush,
+            .close = task_close,
+        },
+    .received = task_received,
+    .heard = task_heard,
+    .set_view = task_set_view,
+};
+
+void
+GbSteeringTask_Init(struct GbSteeringTask *self,
+                    const struct GbPacketTaskConfig *config,
+                    const char *data_centre, uint32_t cache_capacity,
+                    struct GbClock *clock)
+{
+    GbPacketTask_Init(&self->super, &GbSteeringTask_Class,
+                      &GbSteeringTask_PortClass, config, clock);
+    GbSteering_Init(&self->steering, &self->super.port, data_centre,
+                    cache_capacity, clock, &self->super.counters);
+}
