Let openings wait in order of what can still meet its goal

Cause: after a final power-off the openings of the outage arrive as copies together with new ones while cold targets do 0.6 of their work. Ruled out: start-up (agents serve 60 ms after power returns), steering (no packet of a running agent was lost). Change: a target is given slots + slots/2 + 1 flows; further openings wait at the agent, those that can still meet their goal first, and late ones only get a slot that is free. What could not be answered before its client gives up is reset.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -1,10 +1,16 @@
 #include "coordination/flows/flow_admission.h"
 
+#include <glib.h>
+
 #include "coordination/flows/flow_choice.h"
 #include "coordination/flows/flow_load.h"
 
 /* Beyond this number of agents an opening packet stays where it is. */
 #define OPENING_HOPS_MAX 2
+#define US_PER_MS INT64_C(1000)
+/* A client that gets no answer to its opening packet gives up after this
+ * time. */
+#define OPENING_TRIED_US INT64_C(1400000)
 
 /* Options of one opening packet; members[i] is NULL for the own target. */
 struct Options {
@@ -107,42 +113,124 @@
     GbFlowAgent_Reset(self, packet);
 }
 
+/* When the client sent the first copy of an opening packet. Later copies carry
+ * their number in place of an acknowledgement. */
+static int64_t
+first_sent_us(const struct GbPacket *packet, int64_t now_us)
+{
+    static const int64_t copy_delays_us[] = {0, 200000, 600000};
+    uint32_t copy = packet->acknowledgement;
+
+    return now_us -
+           (copy < G_N_ELEMENTS(copy_delays_us) ? copy_delays_us[copy] : 0);
+}
+
 static void
-place(struct GbFlowAgent *self, struct GbPacket *packet,
-      uint32_t balancer_ipv4, bool is_own_allowed)
+make_opening(const struct GbFlowAgent *self, const struct GbPacket *packet,
+             uint32_t balancer_ipv4, int64_t now_us,
+             struct GbFlowOpening *opening)
 {
-    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbAddress service = {packet->key.service_ipv4,
+                                packet->key.service_port};
+    int64_t sent_us = first_sent_us(packet, now_us);
+    const struct GbRoute *route =
+        self->view != NULL ? GbRouteTable_Find(self->view->routes, &service)
+                           : NULL;
+
+    opening->packet = *packet;
+    opening->balancer_ipv4 = balancer_ipv4;
+    opening->priority = 0;
+    opening->goal_us = sent_us;
+    opening->give_up_us = sent_us + OPENING_TRIED_US;
+    if (route != NULL) {
+        opening->priority = route->priority;
+        opening->goal_us = sent_us + route->latency_goal_ms * US_PER_MS;
+        opening->give_up_us =
+            MIN(opening->give_up_us, sent_us + route->timeout_ms * US_PER_MS);
+    }
+}
+
+static bool
+is_hopeless(const struct GbFlowAgent *self,
+            const struct GbFlowOpening *opening, int64_t now_us)
+{
+    int64_t window = GbFlowChoice_Window(GbFlowLoad_Slots(self));
+    int64_t ahead =
+        GbFlowWaiting_Ahead(&self->waiting, opening, self->service_us, now_us);
+
+    return now_us + self->service_us + ahead * self->service_us / window >
+           opening->give_up_us;
+}
+
+static void
+hold(struct GbFlowAgent *self, struct GbFlowOpening *opening, int64_t now_us)
+{
+    if (is_hopeless(self, opening, now_us) ||
+        !GbFlowWaiting_Add(&self->waiting, opening)) {
+        refuse(self, &opening->packet);
+        return;
+    }
+    GbCounters_Add(self->counters, GB_COUNTER_OPENINGS_HELD, 1);
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_HELD, &opening->packet.key,
+                       self->config.own_ipv4, self->in_flight,
+                       GbFlowLoad_Slots(self));
+}
+
+/* Gives the packet to the best target that has room. Returns false if none
+ * has. */
+static bool
+place(struct GbFlowAgent *self, struct GbFlowOpening *opening,
+      bool is_own_allowed, int64_t now_us)
+{
+    struct GbPacket *packet = &opening->packet;
+    uint32_t balancer_ipv4 = opening->balancer_ipv4;
     struct Options options = {.count = 0};
+    bool is_late = !GbFlowOpening_MeetsGoal(opening, self->service_us, now_us);
     int32_t best;
 
     if (is_own_allowed && GbFlowLoad_IsOwnUsable(self, now_us)) {
         add_own(self, &options, now_us);
     }
-    if (options.count == 0 || packet->hops < OPENING_HOPS_MAX) {
+    if (packet->hops < OPENING_HOPS_MAX ||
+        (options.count == 0 && packet->hops < GB_FLOW_HOPS_MAX)) {
         add_members(self, &options, now_us);
     }
     if (options.count == 0 && is_own_allowed) {
         /* Nobody is known to be better. */
         open_here(self, packet, balancer_ipv4, now_us);
-        return;
+        return true;
     }
-    best = GbFlowChoice_Best(options.items, options.count);
-    if (best < 0 || packet->hops >= GB_FLOW_HOPS_MAX) {
-        refuse(self, packet);
+    best = GbFlowChoice_Best(options.items, options.count, is_late);
+    if (best < 0) {
+        return false;
     }
-    else if (options.members[best] == NULL) {
+    if (options.members[best] == NULL) {
         open_here(self, packet, balancer_ipv4, now_us);
     }
     else {
         hand_over(self, packet, options.members[best], balancer_ipv4, now_us);
     }
+    return true;
+}
+
+static void
+place_or_hold(struct GbFlowAgent *self, struct GbPacket *packet,
+              uint32_t balancer_ipv4, bool is_own_allowed)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbFlowOpening opening;
+
+    make_opening(self, packet, balancer_ipv4, now_us, &opening);
+    if (!place(self, &opening, is_own_allowed, now_us)) {
+        hold(self, &opening, now_us);
+    }
 }
 
 void
 GbFlowAdmission_Open(struct GbFlowAgent *self, struct GbPacket *packet,
                      uint32_t balancer_ipv4)
 {
-    place(self, packet, balancer_ipv4, true);
+    place_or_hold(self, packet, balancer_ipv4, true);
 }
 
 void
@@ -155,7 +243,7 @@
     if (flow->state != GB_PACKET_FLOW_ELSEWHERE) {
         if (GbFlowTarget_Opened(&self->target, now_us)) {
             GbFlowLoad_End(self, flow);
-            place(self, packet, balancer_ipv4, true);
+            place_or_hold(self, packet, balancer_ipv4, true);
             return;
         }
         GbPacketFlowTable_Touch(&self->flows, flow, now_us);
@@ -167,7 +255,7 @@
         GbFlowAdmission_PassOn(self, packet, flow->owner_ipv4, balancer_ipv4);
         return;
     }
-    place(self, packet, balancer_ipv4, true);
+    place_or_hold(self, packet, balancer_ipv4, true);
 }
 
 void
@@ -186,7 +274,25 @@
         balancer_ipv4 = flow->balancer_ipv4;
         GbFlowLoad_Remove(self, flow);
     }
-    place(self, packet, balancer_ipv4, false);
+    place_or_hold(self, packet, balancer_ipv4, false);
+}
+
+void
+GbFlowAdmission_ServeWaiting(struct GbFlowAgent *self)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbFlowOpening *opening;
+
+    while ((opening = GbFlowWaiting_Hopeless(&self->waiting, self->service_us,
+                                             now_us)) != NULL) {
+        refuse(self, &opening->packet);
+        GbFlowWaiting_Remove(&self->waiting, opening);
+    }
+    while ((opening = GbFlowWaiting_Best(&self->waiting, self->service_us,
+                                         now_us)) != NULL &&
+           place(self, opening, true, now_us)) {
+        GbFlowWaiting_Remove(&self->waiting, opening);
+    }
 }
 
 void
--- a/src/coordination/flows/flow_admission.h
+++ b/src/coordination/flows/flow_admission.h
@@ -19,6 +19,10 @@
 void GbFlowAdmission_Returned(struct GbFlowAgent *self,
                               struct GbPacket *packet);
 
+/* Gives waiting openings to targets that have room, best first, and resets the
+ * clients of those that could not be answered in time. */
+void GbFlowAdmission_ServeWaiting(struct GbFlowAgent *self);
+
 /* Passes a packet on to the agent that has its flow, and tells the balancer
  * so. */
 void GbFlowAdmission_PassOn(struct GbFlowAgent *self, struct GbPacket *packet,
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -11,6 +11,8 @@
 /* How far beyond the target's first sequence number the first packet of a
  * client that follows it can acknowledge. */
 #define FIRST_ACK_MAX 0xffffU
+/* Taken before the first answers are measured. */
+#define SERVICE_START_US INT64_C(30000)
 #define REPORT_PERIOD_US INT64_C(100000)
 /* Two reports fit into the silence after which a balancer suspects an
  * agent. */
@@ -199,11 +201,14 @@
     GbFlowPool_Init(&self->pool);
     GbFlowLookups_Init(&self->lookups);
     GbFlowTarget_Init(&self->target);
+    GbFlowWaiting_Init(&self->waiting);
+    self->service_us = SERVICE_START_US;
 }
 
 void
 GbFlowAgent_Finish(struct GbFlowAgent *self)
 {
+    GbFlowWaiting_Finish(&self->waiting);
     GbFlowLookups_Finish(&self->lookups);
     GbPacketFlowTable_Finish(&self->flows);
     GbPacketView_Unref(self->view);
@@ -250,6 +255,9 @@
     if (!GbPacket_IsOpening(packet)) {
         receive_later_packet(self, packet, flow, balancer_ipv4);
     }
+    else if (GbFlowWaiting_Find(&self->waiting, &packet->key) != NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_OPENINGS_REPEATED, 1);
+    }
     else if (flow == NULL) {
         GbFlowAdmission_Open(self, packet, balancer_ipv4);
     }
@@ -281,7 +289,7 @@
             flow->target_sequence = packet->sequence;
         }
         if (packet->data_bytes > 0) {
-            GbFlowLoad_End(self, flow);
+            GbFlowLoad_Answered(self, flow, now_us);
         }
         if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
             flow->is_closing = true;
@@ -323,6 +331,7 @@
 void
 GbFlowAgent_Flush(struct GbFlowAgent *self)
 {
+    GbFlowAdmission_ServeWaiting(self);
     GbFlowLoad_TellPool(self, GbClock_MonotonicUs(self->clock), false);
 }
 
@@ -343,6 +352,7 @@
     if (now_us >= self->report_us) {
         self->report_us = now_us + REPORT_PERIOD_US;
         GbFlowLoad_Expire(self, now_us);
+        GbFlowAdmission_ServeWaiting(self);
         GbFlowLoad_TellPool(self, now_us, true);
     }
     if (now_us >= self->balancer_report_us) {
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -4,6 +4,7 @@
 #include "coordination/flows/flow_lookup.h"
 #include "coordination/flows/flow_pool.h"
 #include "coordination/flows/flow_target.h"
+#include "coordination/flows/flow_waiting.h"
 #include "coordination/flows/packet_port.h"
 #include "state/clock.h"
 #include "state/counters.h"
@@ -44,6 +45,9 @@
     struct GbFlowPool pool;
     struct GbFlowLookups lookups;
     struct GbFlowTarget target;
+    struct GbFlowWaiting waiting;
+    /* Time from opening to the first byte of the answer, smoothed. */
+    int64_t service_us;
     struct GbFlowBalancer balancers[GB_FLOW_BALANCERS_MAX];
     uint32_t balancer_count;
     /* Flows that the target works on or is about to. */
--- a/src/coordination/flows/flow_choice.c
+++ b/src/coordination/flows/flow_choice.c
@@ -31,17 +31,26 @@
     return delay_us;
 }
 
+uint32_t
+GbFlowChoice_Window(uint32_t slots)
+{
+    /* The handshake takes about half as long as the work. */
+    return slots + slots / 2 + 1;
+}
+
 int32_t
-GbFlowChoice_Best(const struct GbFlowOption *options, uint32_t count)
+GbFlowChoice_Best(const struct GbFlowOption *options, uint32_t count,
+                  bool is_late)
 {
     int64_t best_us = INT64_MAX;
     int32_t best = -1;
 
     for (uint32_t i = 0; i < count; i++) {
         int64_t delay_us = GbFlowChoice_DelayUs(&options[i]);
+        uint32_t limit =
+            is_late ? options[i].slots : GbFlowChoice_Window(options[i].slots);
 
-        if (options[i].in_flight < options[i].slots + GB_TARGET_QUEUE &&
-            delay_us < best_us) {
+        if (options[i].in_flight < limit && delay_us < best_us) {
             best_us = delay_us;
             best = (int32_t)i;
         }
--- a/src/coordination/flows/flow_choice.h
+++ b/src/coordination/flows/flow_choice.h
@@ -4,9 +4,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Flows that a target takes beyond its slots before it refuses. */
-#define GB_TARGET_QUEUE 8
-
 /* Target that a new flow may go to. */
 struct GbFlowOption {
     uint32_t in_flight;
@@ -23,11 +20,17 @@
  * there. */
 int64_t GbFlowChoice_DelayUs(const struct GbFlowOption *option);
 
-/* Index of the option with the least delay. -1 if all are so loaded that the
- * target would refuse the flow.
+/* Flows that a target is given at once: those that it works on, and as many
+ * more as are on their way to it meanwhile. */
+uint32_t GbFlowChoice_Window(uint32_t slots);
+
+/* Index of the option with the least delay. -1 if all have as many flows as
+ * their window holds. A flow whose answer is late in any case only gets a
+ * slot that is free, so that it never makes another one late.
  *
  * Answers the load pattern of a peak at which flows arrive faster than single
  * targets finish them while others of the pool have free slots. */
-int32_t GbFlowChoice_Best(const struct GbFlowOption *options, uint32_t count);
+int32_t GbFlowChoice_Best(const struct GbFlowOption *options, uint32_t count,
+                          bool is_late);
 
 #endif
--- a/src/coordination/flows/flow_decision.c
+++ b/src/coordination/flows/flow_decision.c
@@ -5,6 +5,7 @@
 static const char *const names[GB_FLOW_DECISION_KIND_END] = {
     [GB_FLOW_DECISION_OPENED] = "opened",
     [GB_FLOW_DECISION_HANDED_OVER] = "handed_over",
+    [GB_FLOW_DECISION_HELD] = "held",
     [GB_FLOW_DECISION_REFUSED] = "refused",
     [GB_FLOW_DECISION_RETURNED] = "returned",
     [GB_FLOW_DECISION_LOCATED] = "located",
--- a/src/coordination/flows/flow_decision.h
+++ b/src/coordination/flows/flow_decision.h
@@ -10,6 +10,8 @@
     GB_FLOW_DECISION_OPENED,
     /* Another agent takes the flow. */
     GB_FLOW_DECISION_HANDED_OVER,
+    /* All targets have as much work as they can be given; it waits. */
+    GB_FLOW_DECISION_HELD,
     /* No agent can take the flow; the client is told by a reset. */
     GB_FLOW_DECISION_REFUSED,
     /* The target gave back the opening packet. */
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -2,8 +2,13 @@
 
 #include <string.h>
 
-/* A client that follows its opening packet does so within two round trips. */
-#define OPENING_US INT64_C(500000)
+/* A client that follows its opening packet does so within a round trip. One
+ * whose packet was lost is counted again when it follows. */
+#define OPENING_US INT64_C(80000)
+/* Weight of one answer in the smoothed time of service, and its bounds. */
+#define SERVICE_DIVISOR 16
+#define SERVICE_MIN_US INT64_C(5000)
+#define SERVICE_MAX_US INT64_C(300000)
 /* Longest time for which a request counts as work of the target. */
 #define WORK_MAX_US INT64_C(3000000)
 /* Flows without packets for longer are forgotten; a later packet finds its
@@ -36,6 +41,7 @@
     notice->kind = GB_FLOW_NOTICE_LOAD;
     notice->service_id = self->config.service_id;
     notice->load.running = self->in_flight;
+    notice->load.queued = self->waiting.count;
     notice->load.is_draining = self->is_draining;
     if (GbFlowLoad_IsOwnUsable(self, now_us)) {
         notice->load.capacity = GbFlowLoad_Slots(self);
@@ -69,6 +75,23 @@
     }
 }
 
+void
+GbFlowLoad_Answered(struct GbFlowAgent *self, struct GbPacketFlow *flow,
+                    int64_t now_us)
+{
+    int64_t taken_us = now_us - flow->opened_us;
+
+    if (!flow->is_in_flight) {
+        return;
+    }
+    GbFlowLoad_End(self, flow);
+    if (!flow->is_answered) {
+        flow->is_answered = true;
+        taken_us = CLAMP(taken_us, SERVICE_MIN_US, SERVICE_MAX_US);
+        self->service_us += (taken_us - self->service_us) / SERVICE_DIVISOR;
+    }
+}
+
 void
 GbFlowLoad_Remove(struct GbFlowAgent *self, struct GbPacketFlow *flow)
 {
--- a/src/coordination/flows/flow_load.h
+++ b/src/coordination/flows/flow_load.h
@@ -8,6 +8,11 @@
                       int64_t now_us);
 void GbFlowLoad_End(struct GbFlowAgent *self, struct GbPacketFlow *flow);
 
+/* The target has sent data of a flow: the first data after a request ends its
+ * work as far as slots are concerned. */
+void GbFlowLoad_Answered(struct GbFlowAgent *self, struct GbPacketFlow *flow,
+                         int64_t now_us);
+
 /* Removes a flow and what it counts for. */
 void GbFlowLoad_Remove(struct GbFlowAgent *self, struct GbPacketFlow *flow);
 
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -154,6 +154,12 @@
          "Flows whose opening packet went to the target."},
     [GB_COUNTER_FLOWS_HANDED_OVER] = {"flows_handed_over_total",
                                       "Flows handed to another agent."},
+    [GB_COUNTER_OPENINGS_HELD] =
+        {"openings_held_total",
+         "Opening packets that waited for a target with room."},
+    [GB_COUNTER_OPENINGS_REPEATED] =
+        {"openings_repeated_total",
+         "Copies of opening packets that wait already."},
     [GB_COUNTER_FLOWS_ADOPTED] =
         {"flows_adopted_total",
          "Open flows found at the target after a restart."},
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -24,6 +24,8 @@
     uint32_t balancer_ipv4;
     /* Counts as work that the target has, or is about to have. */
     bool is_in_flight;
+    /* The target has sent data of the flow. */
+    bool is_answered;
     bool has_target_sequence;
     bool is_closing;
     uint32_t target_sequence;
--- /dev/null
+++ b/tests/support/flow_fixture.c
@@ -0,0 +1,287 @@
+#include "support/flow_fixture.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define STEP_US 1000
+#define REPORT_PERIOD_US 100000
+#define LATENCY_GOAL_MS 100
+#define TIMEOUT_MS 1000
+#define FLOWS_MAX 8192
+
+static struct GbFlowAction *
+add_action(struct GbPacketPort *port, enum GbFlowActionKind kind)
+{
+    struct GbFlowRecorder *self = (struct GbFlowRecorder *)port;
+    struct GbFlowAction *action;
+
+    g_assert_cmpuint(self->count, <, GB_FLOW_FIXTURE_ACTIONS_MAX);
+    action = &self->actions[self->count++];
+    memset(action, 0, sizeof(*action));
+    action->kind = kind;
+    return action;
+}
+
+static struct GbFlowAction *
+add_packet(struct GbPacketPort *port, enum GbFlowActionKind kind,
+           const struct GbPacket *packet)
+{
+    struct GbFlowAction *action = add_action(port, kind);
+
+    action->key = packet->key;
+    action->flags = packet->flags;
+    action->hops = packet->hops;
+    return action;
+}
+
+static void
+record_forward(struct GbPacketPort *port, const struct GbPacket *packet,
+               uint32_t agent_ipv4)
+{
+    add_packet(port, GB_FLOW_ACTION_FORWARD, packet)->to_ipv4 = agent_ipv4;
+}
+
+static void
+record_deliver(struct GbPacketPort *port, const struct GbPacket *packet)
+{
+    add_packet(port, GB_FLOW_ACTION_DELIVER, packet);
+}
+
+static void
+record_reply(struct GbPacketPort *port, const struct GbPacket *packet)
+{
+    add_packet(port, GB_FLOW_ACTION_REPLY, packet);
+}
+
+static void
+record_reset(struct GbPacketPort *port, const struct GbFlowKey *key,
+             uint32_t sequence)
+{
+    (void)sequence;
+    add_action(port, GB_FLOW_ACTION_RESET)->key = *key;
+}
+
+static void
+record_notify(struct GbPacketPort *port, const struct GbFlowNotice *notice,
+              uint32_t to_ipv4)
+{
+    struct GbFlowAction *action;
+
+    /* Loads are sent all the time and would hide what tests look for. */
+    if (notice->kind == GB_FLOW_NOTICE_LOAD) {
+        return;
+    }
+    action = add_action(port, GB_FLOW_ACTION_NOTIFY);
+    action->notice = *notice;
+    action->key = notice->key;
+    action->to_ipv4 = to_ipv4;
+}
+
+static void
+record_decision(struct GbPacketPort *port,
+                const struct GbFlowDecision *decision)
+{
+    (void)port;
+    g_assert_nonnull(GbFlowDecision_Name(decision->kind));
+}
+
+static const struct GbPacketPortClass recorder_class = {
+    .forward = record_forward,
+    .deliver = record_deliver,
+    .reply = record_reply,
+    .reset = record_reset,
+    .notify = record_notify,
+    .decided = record_decision,
+};
+
+static void
+report_loads(struct GbFlowAgentFixture *self)
+{
+    for (uint32_t i = 0; i < self->agent.pool.count; i++) {
+        self->agent.pool.members[i].heard_us = self->clock.monotonic_us;
+    }
+}
+
+static struct GbPacket
+make_packet(struct GbFlowAgentFixture *self, uint32_t client, uint8_t flags,
+            uint16_t data_bytes)
+{
+    struct GbPacket packet = {.key = GbFlowFixture_Key(client)};
+
+    packet.flags = flags;
+    packet.service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE);
+    packet.data_bytes = data_bytes;
+    packet.bytes = self->bytes;
+    packet.size_bytes = 32;
+    return packet;
+}
+
+void
+GbFlowRecorder_Init(struct GbFlowRecorder *self)
+{
+    self->super.klass = &recorder_class;
+    self->actions = g_new(struct GbFlowAction, GB_FLOW_FIXTURE_ACTIONS_MAX);
+    self->count = 0;
+}
+
+void
+GbFlowRecorder_Finish(struct GbFlowRecorder *self)
+{
+    g_free(self->actions);
+}
+
+void
+GbFlowRecorder_Clear(struct GbFlowRecorder *self)
+{
+    self->count = 0;
+}
+
+uint32_t
+GbFlowRecorder_Count(const struct GbFlowRecorder *self,
+                     enum GbFlowActionKind kind)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < self->count; i++) {
+        count += self->actions[i].kind == kind;
+    }
+    return count;
+}
+
+const struct GbFlowAction *
+GbFlowRecorder_Last(const struct GbFlowRecorder *self,
+                    enum GbFlowActionKind kind)
+{
+    for (uint32_t i = self->count; i > 0; i--) {
+        if (self->actions[i - 1].kind == kind) {
+            return &self->actions[i - 1];
+        }
+    }
+    return NULL;
+}
+
+struct GbFlowKey
+GbFlowFixture_Key(uint32_t client)
+{
+    struct GbFlowKey key = {
+        .client_ipv4 = GB_FLOW_FIXTURE_CLIENT_IPV4 + client % 251,
+        .service_ipv4 = GB_FLOW_FIXTURE_SERVICE_IPV4,
+        .client_port = (uint16_t)(1024 + client),
+        .service_port = GB_FLOW_FIXTURE_SERVICE_PORT,
+    };
+
+    return key;
+}
+
+struct GbPacketView *
+GbFlowFixture_View(uint32_t count, uint64_t version)
+{
+    struct GbRoute route = {
+        .address = {GB_FLOW_FIXTURE_SERVICE_IPV4,
+                    GB_FLOW_FIXTURE_SERVICE_PORT},
+        .service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE),
+        .latency_goal_ms = LATENCY_GOAL_MS,
+        .timeout_ms = TIMEOUT_MS,
+    };
+    struct GbRouteTable *routes = GbRouteTable_New(version, 0, &route, 1);
+    struct GbInstanceList *list = GbInstanceList_New();
+    struct GbPacketView *view;
+
+    list->instances = g_new0(struct GbInstance, count);
+    list->count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        struct GbInstance *instance = &list->instances[i];
+
+        g_snprintf(instance->name, GB_NAME_BYTES, "agent-%u", i);
+        instance->id = GbInstance_IdOfName(instance->name);
+        instance->role = GB_ROLE_AGENT;
+        g_strlcpy(instance->service, GB_FLOW_FIXTURE_SERVICE, GB_NAME_BYTES);
+        instance->service_id = route.service_id;
+        g_strlcpy(instance->data_centre, "a", GB_NAME_BYTES);
+        instance->address.ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4 + i;
+        instance->weight = GB_FLOW_FIXTURE_SLOTS;
+    }
+    view = GbPacketView_New(routes, list);
+    GbInstanceList_Unref(list);
+    GbRouteTable_Unref(routes);
+    return view;
+}
+
+void
+GbFlowAgentFixture_Init(struct GbFlowAgentFixture *self, uint32_t pool_size)
+{
+    struct GbFlowAgentConfig config = {
+        .own_ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4,
+        .service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE),
+        .data_centre = "a",
+        .flow_limit = FLOWS_MAX,
+    };
+
+    memset(self, 0, sizeof(*self));
+    GbFlowRecorder_Init(&self->recorder);
+    GbManualClock_Init(&self->clock, 1000000000, 0);
+    GbCounters_Init(&self->counters);
+    GbFlowAgent_Init(&self->agent, &config, &self->recorder.super,
+                     &self->clock.super, &self->counters);
+    GbFlowAgent_SetView(&self->agent, GbFlowFixture_View(pool_size, 1));
+    for (uint32_t i = 1; i < pool_size; i++) {
+        GbFlowAgentFixture_Load(self, i, 0);
+    }
+}
+
+void
+GbFlowAgentFixture_Finish(struct GbFlowAgentFixture *self)
+{
+    GbFlowAgent_Finish(&self->agent);
+    GbFlowRecorder_Finish(&self->recorder);
+}
+
+void
+GbFlowAgentFixture_Load(struct GbFlowAgentFixture *self, uint32_t index,
+                        uint32_t running)
+{
+    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_LOAD};
+
+    notice.service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE);
+    notice.load.running = running;
+    notice.load.capacity = GB_FLOW_FIXTURE_SLOTS;
+    GbFlowAgent_Heard(&self->agent, GB_FLOW_FIXTURE_AGENT_IPV4 + index,
+                      &notice);
+}
+
+void
+GbFlowAgentFixture_Receive(struct GbFlowAgentFixture *self, uint32_t client,
+                           uint8_t flags, uint32_t acknowledgement,
+                           uint16_t data_bytes)
+{
+    struct GbPacket packet = make_packet(self, client, flags, data_bytes);
+
+    packet.acknowledgement = acknowledgement;
+    GbFlowAgent_Receive(&self->agent, GB_FLOW_FIXTURE_BALANCER_IPV4, &packet);
+    GbFlowAgent_Flush(&self->agent);
+}
+
+void
+GbFlowAgentFixture_FromTarget(struct GbFlowAgentFixture *self, uint32_t client,
+                              uint8_t flags, uint32_t sequence,
+                              uint16_t data_bytes)
+{
+    struct GbPacket packet = make_packet(self, client, flags, data_bytes);
+
+    packet.sequence = sequence;
+    GbFlowAgent_FromTarget(&self->agent, &packet);
+    GbFlowAgent_Flush(&self->agent);
+}
+
+void
+GbFlowAgentFixture_Advance(struct GbFlowAgentFixture *self, int64_t time_us)
+{
+    for (int64_t at_us = 0; at_us < time_us; at_us += STEP_US) {
+        GbManualClock_Advance(&self->clock, STEP_US);
+        if (self->clock.monotonic_us % REPORT_PERIOD_US == 0) {
+            report_loads(self);
+        }
+        GbFlowAgent_Tick(&self->agent);
+        GbFlowAgent_Flush(&self->agent);
+    }
+}
