Match retries with refusals, and measure service times fully

Cause: packets of a target arrive out of order; when the end of an answer overtook its data, the time of service was not measured and stayed at its start value, so that openings were served that would be late anyway. Retries after a refusal came from new ports, at other agents, and passed for new. Change: balancers rank by client and service without the port; agents match an opening with a refusal of the same client a moment ago; the end of an answer counts as its first data.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -105,12 +105,15 @@
 }
 
 static void
-refuse(struct GbFlowAgent *self, struct GbPacket *packet)
+refuse(struct GbFlowAgent *self, const struct GbFlowOpening *opening,
+       int64_t now_us)
 {
-    GbFlowAgent_Record(self, GB_FLOW_DECISION_REFUSED, &packet->key,
+    GbFlowAgent_Record(self, GB_FLOW_DECISION_REFUSED, &opening->packet.key,
                        self->config.own_ipv4, self->in_flight,
                        GbFlowLoad_Slots(self));
-    GbFlowAgent_Reset(self, packet);
+    GbRecentRefusals_Add(&self->refusals, &opening->packet.key,
+                         opening->first_sent_us, now_us);
+    GbFlowAgent_Reset(self, &opening->packet);
 }
 
 /* When the client sent the first copy of an opening packet. Later copies carry
@@ -126,7 +129,7 @@
 }
 
 static void
-make_opening(const struct GbFlowAgent *self, const struct GbPacket *packet,
+make_opening(struct GbFlowAgent *self, const struct GbPacket *packet,
              uint32_t balancer_ipv4, int64_t now_us,
              struct GbFlowOpening *opening)
 {
@@ -140,13 +143,17 @@
     opening->packet = *packet;
     opening->balancer_ipv4 = balancer_ipv4;
     opening->priority = 0;
-    opening->goal_us = sent_us;
+    opening->first_sent_us =
+        MIN(sent_us,
+            GbRecentRefusals_Match(&self->refusals, &packet->key, now_us));
+    opening->goal_us = opening->first_sent_us;
     opening->give_up_us = sent_us + OPENING_TRIED_US;
     if (route != NULL) {
         opening->priority = route->priority;
-        opening->goal_us = sent_us + route->latency_goal_ms * US_PER_MS;
+        opening->goal_us += route->latency_goal_ms * US_PER_MS;
         opening->give_up_us =
-            MIN(opening->give_up_us, sent_us + route->timeout_ms * US_PER_MS);
+            MIN(opening->give_up_us,
+                opening->first_sent_us + route->timeout_ms * US_PER_MS);
     }
 }
 
@@ -167,7 +174,7 @@
 {
     if (is_hopeless(self, opening, now_us) ||
         !GbFlowWaiting_Add(&self->waiting, opening)) {
-        refuse(self, &opening->packet);
+        refuse(self, opening, now_us);
         return;
     }
     GbCounters_Add(self->counters, GB_COUNTER_OPENINGS_HELD, 1);
@@ -285,7 +292,7 @@
 
     while ((opening = GbFlowWaiting_Hopeless(&self->waiting, self->service_us,
                                              now_us)) != NULL) {
-        refuse(self, &opening->packet);
+        refuse(self, opening, now_us);
         GbFlowWaiting_Remove(&self->waiting, opening);
     }
     while ((opening = GbFlowWaiting_Best(&self->waiting, self->service_us,
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -38,6 +38,15 @@
     return own;
 }
 
+/* Whether the target has the data of this packet already, and has begun to
+ * answer it. */
+static bool
+is_repeated(const struct GbPacketFlow *flow, const struct GbPacket *packet)
+{
+    return flow->is_answered &&
+           packet->sequence - flow->request_sequence - 1 >= INT32_MAX;
+}
+
 /* A packet that opens no flow, of a flow in the table. Returns false if the
  * flow is not the one that the packet belongs to. */
 static bool
@@ -54,13 +63,18 @@
         flow->requested_us = now_us;
     }
     GbPacketFlowTable_Touch(&self->flows, flow, now_us);
-    if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
+    if ((packet->flags & GB_PACKET_RST) != 0) {
         flow->is_closing = true;
         GbFlowLoad_End(self, flow);
     }
-    else if (packet->data_bytes > 0) {
+    else if (packet->data_bytes > 0 && !is_repeated(flow, packet)) {
+        flow->request_sequence = packet->sequence;
         GbFlowLoad_Begin(self, flow, now_us);
     }
+    /* A client may close its direction together with its request. */
+    if ((packet->flags & GB_PACKET_FIN) != 0) {
+        flow->is_closing = true;
+    }
     return true;
 }
 
@@ -202,6 +216,7 @@
     GbFlowLookups_Init(&self->lookups);
     GbFlowTarget_Init(&self->target);
     GbFlowWaiting_Init(&self->waiting);
+    GbRecentRefusals_Init(&self->refusals);
     self->service_us = SERVICE_START_US;
 }
 
@@ -288,7 +303,8 @@
             flow->has_target_sequence = true;
             flow->target_sequence = packet->sequence;
         }
-        if (packet->data_bytes > 0) {
+        /* The end of an answer may overtake its data. */
+        if (packet->data_bytes > 0 || (packet->flags & GB_PACKET_FIN) != 0) {
             GbFlowLoad_Answered(self, flow, now_us);
         }
         if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -6,6 +6,7 @@
 #include "coordination/flows/flow_target.h"
 #include "coordination/flows/flow_waiting.h"
 #include "coordination/flows/packet_port.h"
+#include "coordination/flows/recent_refusals.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/packet_flow_table.h"
@@ -46,6 +47,7 @@
     struct GbFlowLookups lookups;
     struct GbFlowTarget target;
     struct GbFlowWaiting waiting;
+    struct GbRecentRefusals refusals;
     /* Time from opening to the first byte of the answer, smoothed. */
     int64_t service_us;
     struct GbFlowBalancer balancers[GB_FLOW_BALANCERS_MAX];
--- a/src/coordination/flows/flow_waiting.h
+++ b/src/coordination/flows/flow_waiting.h
@@ -14,6 +14,8 @@
     uint32_t balancer_ipv4;
     /* 0 is the highest. */
     uint32_t priority;
+    /* When the client first asked. */
+    int64_t first_sent_us;
     /* An answer after this time is late. */
     int64_t goal_us;
     /* The client no longer follows an answer after this time. */
--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -41,7 +41,8 @@
         {is_excluded}, &self->suspicion, now_us, self->data_centre};
     const struct GbCandidates *candidates =
         GbPacketView_Candidates(self->view, service_id);
-    uint64_t flow_id = GbFlowKey_Hash(key);
+    /* All tries of a client reach one agent, which knows them as such. */
+    uint64_t flow_id = GbFlowKey_ClientHash(key);
     const struct GbInstance *instance;
 
     if (candidates == NULL) {
--- a/src/state/packet.c
+++ b/src/state/packet.c
@@ -21,6 +21,15 @@
     return XXH64(self, sizeof(*self), 0);
 }
 
+uint64_t
+GbFlowKey_ClientHash(const struct GbFlowKey *self)
+{
+    struct GbFlowKey without_port = *self;
+
+    without_port.client_port = 0;
+    return GbFlowKey_Hash(&without_port);
+}
+
 const char *
 GbFlowKey_Format(const struct GbFlowKey *self,
                  char buffer[GB_FLOW_KEY_TEXT_BYTES])
--- a/src/state/packet.h
+++ b/src/state/packet.h
@@ -47,6 +47,10 @@
 
 uint64_t GbFlowKey_Hash(const struct GbFlowKey *self);
 
+/* Hash of the client's address and the service, without the client's port:
+ * the same for all tries of a client. */
+uint64_t GbFlowKey_ClientHash(const struct GbFlowKey *self);
+
 /* Writes "client > service" into buffer and returns buffer. */
 const char *GbFlowKey_Format(const struct GbFlowKey *self,
                              char buffer[GB_FLOW_KEY_TEXT_BYTES]);
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -29,6 +29,8 @@
     bool has_target_sequence;
     bool is_closing;
     uint32_t target_sequence;
+    /* Of the last data that the client sent. */
+    uint32_t request_sequence;
     int64_t opened_us;
     int64_t requested_us;
     int64_t used_us;
