Let three processes read the store and spread what they read

Change: the processes that the seeds name keep reading. All tell random others the revision they have and how current it is; whoever is behind pulls the difference over TCP. A process that has heard nothing current for 1.4 to 1.9 s reads for itself until others are current again.

--- a/src/coordination/flows/view_keeper.c
+++ b/src/coordination/flows/view_keeper.c
@@ -7,65 +7,89 @@
 /* Entries that lapsed while the platform was away are back within 2 s of its
  * return. */
 #define LAPSED_US INT64_C(2200000)
+/* Peers that are further behind than this get the whole list. */
+#define REMEMBERED_US INT64_C(30000000)
 
-struct Entry {
-    struct GbInstance instance;
-    uint64_t revision;
-    /* Monotonic time at which the entry is dropped; GB_TIMER_NEVER while it
-     * is listed. */
-    int64_t drop_us;
-};
-
-static struct Entry *
+static struct GbViewEntry *
 find(const struct GbViewKeeper *self, uint64_t id)
 {
     return g_hash_table_lookup(self->entries, &id);
 }
 
-static void
-drop(struct GbViewKeeper *self, struct Entry *entry)
+static bool
+is_used(const struct GbViewEntry *entry)
 {
-    g_hash_table_remove(self->entries, &entry->instance.id);
-    self->is_changed = true;
+    return !entry->is_removed || entry->use_until_us != 0;
 }
 
 /* An address that is used again belongs to the new entry alone. */
 static void
-drop_lapsed_at(struct GbViewKeeper *self, const struct GbAddress *address)
+stop_use_at(struct GbViewKeeper *self, const struct GbAddress *address)
 {
     GHashTableIter entries;
     gpointer value;
 
     g_hash_table_iter_init(&entries, self->entries);
     while (g_hash_table_iter_next(&entries, NULL, &value)) {
-        const struct Entry *entry = value;
+        struct GbViewEntry *entry = value;
 
-        if (entry->drop_us != GB_TIMER_NEVER &&
+        if (entry->is_removed &&
             GbAddress_Equal(&entry->instance.address, address)) {
-            g_hash_table_iter_remove(&entries);
-            self->is_changed = true;
+            entry->use_until_us = 0;
         }
     }
 }
 
 static void
-lapse(struct GbViewKeeper *self, struct Entry *entry, uint64_t revision)
+remove_entry(struct GbViewKeeper *self, struct GbViewEntry *entry,
+             uint64_t revision)
 {
-    if (entry->drop_us != GB_TIMER_NEVER || revision <= entry->revision) {
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    if (entry->is_removed || revision <= entry->revision) {
         return;
     }
     entry->revision = revision;
-    if (entry->instance.is_leaving) {
-        drop(self, entry);
-        return;
+    entry->is_removed = true;
+    entry->forget_us = now_us + REMEMBERED_US;
+    entry->use_until_us = 0;
+    if (!entry->instance.is_leaving) {
+        entry->use_until_us = now_us + LAPSED_US;
     }
-    entry->drop_us = GbClock_MonotonicUs(self->clock) + LAPSED_US;
+    self->is_changed = true;
+}
+
+static void
+stop_use(struct GbViewKeeper *self, struct GbViewEntry *entry)
+{
+    entry->use_until_us = 0;
+    self->is_changed = true;
 }
 
 static bool
-is_named(const struct GbInstanceList *list, uint64_t id)
+is_due(int64_t at_us, int64_t now_us)
 {
-    return GbInstanceList_Find(list, id) != NULL;
+    return at_us != 0 && at_us <= now_us;
+}
+
+static struct GbInstanceList *
+used_list(const struct GbViewKeeper *self)
+{
+    struct GbInstanceList *list = GbInstanceList_New();
+    GHashTableIter entries;
+    gpointer value;
+
+    list->version = self->revision;
+    list->instances =
+        g_new(struct GbInstance, g_hash_table_size(self->entries));
+    g_hash_table_iter_init(&entries, self->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &value)) {
+        if (is_used(value)) {
+            list->instances[list->count++] =
+                ((struct GbViewEntry *)value)->instance;
+        }
+    }
+    return list;
 }
 
 void
@@ -85,13 +109,15 @@
 }
 
 bool
-GbViewKeeper_SetRoutes(struct GbViewKeeper *self, struct GbRouteTable *routes)
+GbViewKeeper_SetRoutes(struct GbViewKeeper *self, struct GbRouteTable *routes,
+                       uint64_t revision)
 {
     if (self->routes != NULL && routes->version <= self->routes->version) {
         return false;
     }
     GbRouteTable_Unref(self->routes);
     self->routes = GbRouteTable_Ref(routes);
+    self->routes_revision = revision;
     self->is_changed = true;
     return true;
 }
@@ -100,34 +126,37 @@
 GbViewKeeper_Put(struct GbViewKeeper *self, const struct GbInstance *instance,
                  uint64_t revision)
 {
-    struct Entry *entry = find(self, instance->id);
+    struct GbViewEntry *entry = find(self, instance->id);
 
     if (entry != NULL && revision <= entry->revision) {
         return;
     }
     if (entry == NULL) {
-        drop_lapsed_at(self, &instance->address);
-        entry = g_new0(struct Entry, 1);
+        entry = g_new0(struct GbViewEntry, 1);
         entry->instance = *instance;
         g_hash_table_insert(self->entries, &entry->instance.id, entry);
+        stop_use_at(self, &instance->address);
         self->is_changed = true;
     }
-    else if (memcmp(&entry->instance, instance, sizeof(*instance)) != 0) {
+    else if (entry->is_removed ||
+             memcmp(&entry->instance, instance, sizeof(*instance)) != 0) {
         entry->instance = *instance;
         self->is_changed = true;
     }
     entry->revision = revision;
-    entry->drop_us = GB_TIMER_NEVER;
+    entry->is_removed = false;
+    entry->use_until_us = 0;
+    entry->forget_us = 0;
 }
 
 void
 GbViewKeeper_Remove(struct GbViewKeeper *self, uint64_t instance_id,
                     uint64_t revision)
 {
-    struct Entry *entry = find(self, instance_id);
+    struct GbViewEntry *entry = find(self, instance_id);
 
     if (entry != NULL) {
-        lapse(self, entry, revision);
+        remove_entry(self, entry, revision);
     }
 }
 
@@ -135,22 +164,24 @@
 GbViewKeeper_SetList(struct GbViewKeeper *self,
                      const struct GbInstanceList *list)
 {
-    GList *values = g_hash_table_get_values(self->entries);
+    GHashTableIter entries;
+    gpointer value;
 
-    for (GList *link = values; link != NULL; link = link->next) {
-        struct Entry *entry = link->data;
+    g_hash_table_iter_init(&entries, self->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &value)) {
+        struct GbViewEntry *entry = value;
 
-        if (!is_named(list, entry->instance.id)) {
-            lapse(self, entry, list->version);
+        if (GbInstanceList_Find(list, entry->instance.id) == NULL) {
+            remove_entry(self, entry, list->version);
         }
     }
-    g_list_free(values);
     for (uint32_t i = 0; i < list->count; i++) {
         GbViewKeeper_Put(self, &list->instances[i], list->version);
     }
     if (!self->has_list) {
         self->has_list = true;
         self->is_changed = true;
+        self->forgotten_revision = list->version;
     }
     GbViewKeeper_Advance(self, list->version);
 }
@@ -161,21 +192,10 @@
     self->revision = MAX(self->revision, revision);
 }
 
-struct GbInstanceList *
-GbViewKeeper_List(const struct GbViewKeeper *self)
+bool
+GbViewKeeper_KnowsSince(const struct GbViewKeeper *self, uint64_t revision)
 {
-    struct GbInstanceList *list = GbInstanceList_New();
-    GHashTableIter entries;
-    gpointer value;
-
-    list->version = self->revision;
-    list->instances =
-        g_new(struct GbInstance, g_hash_table_size(self->entries));
-    g_hash_table_iter_init(&entries, self->entries);
-    while (g_hash_table_iter_next(&entries, NULL, &value)) {
-        list->instances[list->count++] = ((struct Entry *)value)->instance;
-    }
-    return list;
+    return revision >= self->forgotten_revision;
 }
 
 struct GbPacketView *
@@ -187,7 +207,7 @@
     if (!self->is_changed || !GbViewKeeper_IsComplete(self)) {
         return NULL;
     }
-    list = GbViewKeeper_List(self);
+    list = used_list(self);
     view = GbPacketView_New(self->routes, list);
     GbInstanceList_Unref(list);
     self->is_changed = false;
@@ -209,7 +229,13 @@
 
     g_hash_table_iter_init(&entries, self->entries);
     while (g_hash_table_iter_next(&entries, NULL, &value)) {
-        next_us = MIN(next_us, ((struct Entry *)value)->drop_us);
+        const struct GbViewEntry *entry = value;
+
+        if (entry->is_removed) {
+            next_us =
+                MIN(next_us, entry->use_until_us != 0 ? entry->use_until_us
+                                                      : entry->forget_us);
+        }
     }
     return next_us;
 }
@@ -218,14 +244,20 @@
 GbViewKeeper_Tick(struct GbViewKeeper *self)
 {
     int64_t now_us = GbClock_MonotonicUs(self->clock);
-    GList *values = g_hash_table_get_values(self->entries);
+    GHashTableIter entries;
+    gpointer value;
 
-    for (GList *link = values; link != NULL; link = link->next) {
-        struct Entry *entry = link->data;
+    g_hash_table_iter_init(&entries, self->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &value)) {
+        struct GbViewEntry *entry = value;
 
-        if (entry->drop_us <= now_us) {
-            drop(self, entry);
+        if (is_due(entry->use_until_us, now_us)) {
+            stop_use(self, entry);
+        }
+        if (is_due(entry->forget_us, now_us)) {
+            self->forgotten_revision =
+                MAX(self->forgotten_revision, entry->revision);
+            g_hash_table_iter_remove(&entries);
         }
     }
-    g_list_free(values);
 }
--- /dev/null
+++ b/src/coordination/flows/view_spread.c
@@ -0,0 +1,222 @@
+#include "coordination/flows/view_spread.h"
+
+#include <string.h>
+
+#define US_PER_MS INT64_C(1000)
+#define PERIOD_US INT64_C(200000)
+/* Random processes that are told in each period, and at a change. */
+#define PERIOD_FANOUT 3
+#define CHANGE_FANOUT 4
+/* Answers to processes that are behind, in each period. */
+#define REPLIES_MAX 16
+/* Readers confirm once a second at least, and news takes a few periods. */
+#define PATIENCE_US INT64_C(1400000)
+#define PATIENCE_JITTER_US 500000
+/* A process that reads for itself stops when others are this current. */
+#define CURRENT_US INT64_C(800000)
+#define PEER_IDLE_US INT64_C(10000000)
+#define NEVER_US (INT64_MIN / 2)
+
+static uint32_t
+age_ms(const struct GbViewSpread *self)
+{
+    int64_t age = GbViewSpread_AgeUs(self) / US_PER_MS;
+
+    return (uint32_t)CLAMP(age, 0, UINT32_MAX);
+}
+
+static void
+announce_to(struct GbViewSpread *self, uint32_t ipv4)
+{
+    self->port->klass->announce(self->port, ipv4, self->keeper->revision,
+                                age_ms(self));
+}
+
+/* Address number at among listed instances and other peers; 0 if it is the
+ * own one. */
+static uint32_t
+address_at(const struct GbViewSpread *self, uint32_t at)
+{
+    GHashTableIter entries;
+    gpointer value = NULL;
+    uint32_t ipv4;
+
+    if (at < self->peer_count) {
+        ipv4 = self->peers[at].ipv4;
+        return ipv4 != self->config.own_ipv4 ? ipv4 : 0;
+    }
+    at -= self->peer_count;
+    g_hash_table_iter_init(&entries, self->keeper->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &value) && at > 0) {
+        at--;
+    }
+    ipv4 = ((const struct GbViewEntry *)value)->instance.address.ipv4;
+    return ipv4 != self->config.own_ipv4 ? ipv4 : 0;
+}
+
+static void
+announce_to_some(struct GbViewSpread *self, uint32_t fanout)
+{
+    uint32_t known =
+        self->peer_count + g_hash_table_size(self->keeper->entries);
+
+    for (uint32_t i = 0; known > 0 && i < fanout; i++) {
+        uint32_t ipv4 = address_at(self, GbRandom_Below(self->random, known));
+
+        if (ipv4 != 0) {
+            announce_to(self, ipv4);
+        }
+    }
+    self->announced_revision = self->keeper->revision;
+}
+
+static void
+drop_idle_peers(struct GbViewSpread *self, int64_t now_us)
+{
+    for (uint32_t i = 0; i < self->peer_count;) {
+        /* Seeds are never heard and stay. */
+        if (self->peers[i].heard_us != 0 &&
+            now_us - self->peers[i].heard_us > PEER_IDLE_US) {
+            self->peers[i] = self->peers[--self->peer_count];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+static void
+remember_peer(struct GbViewSpread *self, uint32_t ipv4, int64_t now_us)
+{
+    for (uint32_t i = 0; i < self->peer_count; i++) {
+        if (self->peers[i].ipv4 == ipv4) {
+            if (self->peers[i].heard_us != 0) {
+                self->peers[i].heard_us = now_us;
+            }
+            return;
+        }
+    }
+    if (self->peer_count < GB_VIEW_PEERS_MAX) {
+        self->peers[self->peer_count].ipv4 = ipv4;
+        self->peers[self->peer_count++].heard_us = now_us;
+    }
+}
+
+static bool
+is_reading_wanted(const struct GbViewSpread *self, int64_t now_us)
+{
+    if (self->config.is_reader || !GbViewKeeper_IsComplete(self->keeper)) {
+        return true;
+    }
+    if (self->is_reading) {
+        return now_us - self->peer_confirmed_us > CURRENT_US;
+    }
+    return now_us - self->confirmed_us > self->patience_us;
+}
+
+static void
+update_reading(struct GbViewSpread *self, int64_t now_us)
+{
+    bool is_wanted = is_reading_wanted(self, now_us);
+
+    if (is_wanted != self->is_reading) {
+        self->is_reading = is_wanted;
+        self->port->klass->read_platform(self->port, is_wanted);
+    }
+}
+
+void
+GbViewSpread_Init(struct GbViewSpread *self,
+                  const struct GbViewSpreadConfig *config,
+                  struct GbViewSpreadPort *port, struct GbViewKeeper *keeper,
+                  struct GbClock *clock, struct GbRandom *random)
+{
+    memset(self, 0, sizeof(*self));
+    self->config = *config;
+    self->port = port;
+    self->keeper = keeper;
+    self->clock = clock;
+    self->random = random;
+    self->confirmed_us = NEVER_US;
+    self->peer_confirmed_us = NEVER_US;
+    self->next_us = GbClock_MonotonicUs(clock);
+    self->replies_left = REPLIES_MAX;
+    self->patience_us =
+        PATIENCE_US + GbRandom_Below(random, PATIENCE_JITTER_US);
+}
+
+void
+GbViewSpread_AddPeer(struct GbViewSpread *self, uint32_t ipv4)
+{
+    remember_peer(self, ipv4, 0);
+}
+
+void
+GbViewSpread_Confirmed(struct GbViewSpread *self)
+{
+    self->confirmed_us = GbClock_MonotonicUs(self->clock);
+}
+
+void
+GbViewSpread_Changed(struct GbViewSpread *self)
+{
+    if (self->keeper->revision != self->announced_revision) {
+        announce_to_some(self, CHANGE_FANOUT);
+    }
+}
+
+void
+GbViewSpread_Heard(struct GbViewSpread *self, uint32_t from_ipv4,
+                   uint64_t revision, uint32_t age_ms_)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    int64_t confirmed_us = now_us - (int64_t)age_ms_ * US_PER_MS;
+
+    remember_peer(self, from_ipv4, now_us);
+    if (revision > self->keeper->revision) {
+        if (self->pulled_ipv4 == 0) {
+            self->pulled_ipv4 = from_ipv4;
+            self->port->klass->pull(self->port, from_ipv4);
+        }
+        return;
+    }
+    if (revision < self->keeper->revision && self->replies_left > 0) {
+        self->replies_left--;
+        announce_to(self, from_ipv4);
+    }
+    self->peer_confirmed_us = MAX(self->peer_confirmed_us, confirmed_us);
+    self->confirmed_us = MAX(self->confirmed_us, confirmed_us);
+}
+
+void
+GbViewSpread_Pulled(struct GbViewSpread *self)
+{
+    self->pulled_ipv4 = 0;
+}
+
+int64_t
+GbViewSpread_AgeUs(const struct GbViewSpread *self)
+{
+    return GbClock_MonotonicUs(self->clock) - self->confirmed_us;
+}
+
+int64_t
+GbViewSpread_NextTimerUs(const struct GbViewSpread *self)
+{
+    return self->next_us;
+}
+
+void
+GbViewSpread_Tick(struct GbViewSpread *self)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+
+    if (now_us < self->next_us) {
+        return;
+    }
+    self->next_us = now_us + PERIOD_US;
+    self->replies_left = REPLIES_MAX;
+    drop_idle_peers(self, now_us);
+    announce_to_some(self, PERIOD_FANOUT);
+    update_reading(self, now_us);
+}
--- a/src/protocol/flow_notice_codec.c
+++ b/src/protocol/flow_notice_codec.c
@@ -55,7 +55,7 @@
     case GB_FLOW_NOTICE_OWNER:
         return HEAD_ITEMS + KEY_ITEMS + 1;
     case GB_FLOW_NOTICE_REVISION:
-        return HEAD_ITEMS + 1;
+        return HEAD_ITEMS + 2;
     default:
         return HEAD_ITEMS + KEY_ITEMS;
     }
@@ -77,6 +77,7 @@
         break;
     case GB_FLOW_NOTICE_REVISION:
         GbWriter_PutUint(&writer, notice->revision);
+        GbWriter_PutUint(&writer, notice->age_ms);
         break;
     case GB_FLOW_NOTICE_OWNER:
         put_key(&writer, &notice->key);
@@ -106,6 +107,7 @@
         break;
     case GB_FLOW_NOTICE_REVISION:
         notice->revision = GbReader_Uint(&reader, UINT64_MAX);
+        notice->age_ms = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
         break;
     case GB_FLOW_NOTICE_OWNER:
         read_key(&reader, &notice->key);
--- a/src/protocol/reader.c
+++ b/src/protocol/reader.c
@@ -115,8 +115,17 @@
 
 bool
 GbReader_Finish(struct GbReader *self)
+{
+    size_t used_bytes;
+
+    return GbReader_FinishPart(self, &used_bytes) &&
+           used_bytes == self->size_bytes;
+}
+
+bool
+GbReader_FinishPart(struct GbReader *self, size_t *used_bytes)
 {
     msgpack_zone_destroy(&self->zone);
-    return !self->is_malformed && self->items_left == 0 &&
-           self->offset_bytes == self->size_bytes;
+    *used_bytes = self->offset_bytes;
+    return !self->is_malformed && self->items_left == 0;
 }
--- a/src/protocol/reader.h
+++ b/src/protocol/reader.h
@@ -38,4 +38,8 @@
  * nothing follows. */
 bool GbReader_Finish(struct GbReader *self);
 
+/* As GbReader_Finish, but more arrays may follow. used_bytes is the size of
+ * the one that was read. */
+bool GbReader_FinishPart(struct GbReader *self, size_t *used_bytes);
+
 #endif
--- /dev/null
+++ b/src/protocol/view_delta.h
@@ -0,0 +1,25 @@
+#ifndef GB_PROTOCOL_VIEW_DELTA_H
+#define GB_PROTOCOL_VIEW_DELTA_H
+
+#include <glib.h>
+
+#include "coordination/flows/view_keeper.h"
+#include "protocol/status.h"
+
+/* What another process needs to know as much as this one: a sequence of
+ * msgpack arrays, a head, then the routes if they are newer, then instances,
+ * either those that have changed or all.
+ *
+ * Writes what is newer than since, or everything if not all changes since
+ * then are known. */
+GByteArray *GbViewDelta_Write(const struct GbViewKeeper *keeper,
+                              uint64_t since);
+
+/* Reads a delta and gives it to the keeper, as a whole or not at all.
+ *
+ * Errors: GB_PROTOCOL_MALFORMED. */
+enum GbProtocolStatus GbViewDelta_Apply(struct GbViewKeeper *keeper,
+                                        const uint8_t *data,
+                                        size_t size_bytes);
+
+#endif
--- a/src/state/flow_notice.h
+++ b/src/state/flow_notice.h
@@ -31,8 +31,10 @@
     uint32_t owner_ipv4;
     /* LOAD only. */
     struct GbLoad load;
-    /* REVISION only. */
+    /* REVISION only: what the sender has read, and the time since the platform
+     * has confirmed that nothing is newer. */
     uint64_t revision;
+    uint32_t age_ms;
 };
 
 #endif
--- a/src/transport/control_sync.c
+++ b/src/transport/control_sync.c
@@ -249,10 +249,11 @@
 }
 
 static struct GbDocument *
-highest(struct GbPeerHandler *handler)
+highest(struct GbPeerHandler *handler, const struct GbDocumentHead *known)
 {
     struct GbControlSync *self = OF_MEMBER(handler, peer_handler);
 
+    (void)known;
     return GbAcceptance_Highest(&self->acceptance);
 }
 
--- a/src/transport/packet_mails.h
+++ b/src/transport/packet_mails.h
@@ -23,6 +23,7 @@
     struct GbMail super;
     uint32_t peer_ipv4;
     uint64_t revision;
+    uint32_t age_ms;
 };
 
 /* From the packet task to control: another process has this revision. */
@@ -30,6 +31,7 @@
     struct GbMail super;
     uint32_t peer_ipv4;
     uint64_t revision;
+    uint32_t age_ms;
 };
 
 /* From the packet task to control. */
@@ -49,8 +51,10 @@
 /* Takes its own reference of view. */
 struct GbMail *GbPacketViewMail_New(struct GbPacketView *view);
 struct GbMail *GbConfirmMail_New(void);
-struct GbMail *GbRevisionNoticeMail_New(uint32_t peer_ipv4, uint64_t revision);
-struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4, uint64_t revision);
+struct GbMail *GbRevisionNoticeMail_New(uint32_t peer_ipv4, uint64_t revision,
+                                        uint32_t age_ms);
+struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4, uint64_t revision,
+                                       uint32_t age_ms);
 struct GbMail *GbPacketReportMail_New(const struct GbCounters *counters,
                                       int64_t quiet_us);
 
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -56,7 +56,8 @@
 answer(struct Connection *connection, const struct GbFrame *request)
 {
     struct GbPeerServer *self = connection->server;
-    const struct GbDocument *highest = self->handler->highest(self->handler);
+    const struct GbDocument *highest =
+        self->handler->highest(self->handler, &request->head);
     struct GbFrame nothing = {.kind = GB_FRAME_NOTHING};
     GBytes *encoded;
 
--- a/src/transport/peer_server.h
+++ b/src/transport/peer_server.h
@@ -17,8 +17,10 @@
 
 /* Has the documents that other processes ask for. */
 struct GbPeerHandler {
-    /* Highest accepted document; NULL if there is none. */
-    struct GbDocument *(*highest)(struct GbPeerHandler *self);
+    /* Highest accepted document, or what brings a peer that has the known one
+     * up to it; NULL if there is none. */
+    struct GbDocument *(*highest)(struct GbPeerHandler *self,
+                                  const struct GbDocumentHead *known);
 };
 
 /* Answers other processes over TCP: one frame each way, then the connection
--- a/tests/test_peer_exchange.c
+++ b/tests/test_peer_exchange.c
@@ -35,8 +35,9 @@
 };
 
 static struct GbDocument *
-highest(struct GbPeerHandler *handler)
+highest(struct GbPeerHandler *handler, const struct GbDocumentHead *known)
 {
+    (void)known;
     return ((struct Bench *)handler)->document;
 }
 
