--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -5,6 +5,7 @@
   cmake make gcc pkg-config clang-format clang-tidy
   libevent-dev libmsgpack-dev libargtable2-dev liblog4c-dev libglib2.0-dev
   libjansson-dev libxxhash-dev libsodium-dev libgsl-dev
+  libexpat1-dev libpcre2-dev
 )
 missing=()
 for package in "${packages[@]}"; do
