--- a/src/coordination/flows/view_spread.c
+++ b/src/coordination/flows/view_spread.c
@@ -151,6 +151,12 @@
     remember_peer(self, ipv4, 0);
 }
 
+void
+GbViewSpread_SetReader(struct GbViewSpread *self, bool is_reader)
+{
+    self->config.is_reader = is_reader;
+}
+
 void
 GbViewSpread_Confirmed(struct GbViewSpread *self)
 {
--- a/src/coordination/flows/view_spread.h
+++ b/src/coordination/flows/view_spread.h
@@ -75,6 +75,9 @@
 /* Adds a process that may not be in the instance list, such as a seed. */
 void GbViewSpread_AddPeer(struct GbViewSpread *self, uint32_t ipv4);
 
+/* Whether the process keeps reading from the platform for all others. */
+void GbViewSpread_SetReader(struct GbViewSpread *self, bool is_reader);
+
 /* The platform has just confirmed what the keeper has. */
 void GbViewSpread_Confirmed(struct GbViewSpread *self);
 
--- a/src/transport/process.c
+++ b/src/transport/process.c
@@ -11,6 +11,16 @@
     sigaddset(set, SIGINT);
 }
 
+static int
+wait_for(const sigset_t *set)
+{
+    int number = 0;
+
+    while (sigwait(set, &number) != 0) {
+    }
+    return number;
+}
+
 void
 GbProcess_BlockSignals(void)
 {
@@ -25,12 +35,30 @@
 GbProcess_WaitForStop(void)
 {
     sigset_t set;
-    int number = 0;
 
     stop_signals(&set);
-    while (sigwait(&set, &number) != 0) {
-    }
-    return number;
+    return wait_for(&set);
+}
+
+void
+GbProcess_BlockReload(void)
+{
+    sigset_t set;
+
+    GbProcess_BlockSignals();
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+int
+GbProcess_WaitForSignal(void)
+{
+    sigset_t set;
+
+    stop_signals(&set);
+    sigaddset(&set, SIGHUP);
+    return wait_for(&set);
 }
 
 bool
--- a/src/transport/process.h
+++ b/src/transport/process.h
@@ -13,6 +13,13 @@
 /* Waits for SIGTERM or SIGINT. Returns the signal. */
 int GbProcess_WaitForStop(void);
 
+/* As GbProcess_BlockSignals, and blocks SIGHUP, which asks a process to read
+ * its settings again. */
+void GbProcess_BlockReload(void);
+
+/* Waits for SIGTERM, SIGINT or SIGHUP. Returns the signal. */
+int GbProcess_WaitForSignal(void);
+
 /* Whether SIGTERM or SIGINT has arrived since the last look. Doesn't wait. */
 bool GbProcess_IsStopAsked(void);
 
