Give routes and instance list versions of their own

After the store dropped its history a reader had the new list 40 ms before the new routes; others pulled the list at that moment and never the routes, since one revision stood for both. Ruled out: the bound of the spread (everyone had the list within 30 ms). Change: processes announce the revision of the list and the version of the routes, and pull what is behind of either.

--- a/src/coordination/flows/flow_waiting.c
+++ b/src/coordination/flows/flow_waiting.c
@@ -17,7 +17,7 @@
     if (a->priority != b->priority) {
         return a->priority < b->priority;
     }
-    return a_meets ? a->goal_us > b->goal_us : a->give_up_us < b->give_up_us;
+    return a_meets ? a->goal_us < b->goal_us : a->give_up_us < b->give_up_us;
 }
 
 void
--- a/src/coordination/flows/view_keeper.c
+++ b/src/coordination/flows/view_keeper.c
@@ -109,15 +109,13 @@
 }
 
 bool
-GbViewKeeper_SetRoutes(struct GbViewKeeper *self, struct GbRouteTable *routes,
-                       uint64_t revision)
+GbViewKeeper_SetRoutes(struct GbViewKeeper *self, struct GbRouteTable *routes)
 {
     if (self->routes != NULL && routes->version <= self->routes->version) {
         return false;
     }
     GbRouteTable_Unref(self->routes);
     self->routes = GbRouteTable_Ref(routes);
-    self->routes_revision = revision;
     self->is_changed = true;
     return true;
 }
@@ -214,6 +212,17 @@
     return view;
 }
 
+struct GbViewVersion
+GbViewKeeper_Version(const struct GbViewKeeper *self)
+{
+    struct GbViewVersion version = {.revision = self->revision};
+
+    if (self->routes != NULL) {
+        version.routes_version = self->routes->version;
+    }
+    return version;
+}
+
 bool
 GbViewKeeper_IsComplete(const struct GbViewKeeper *self)
 {
--- a/src/coordination/flows/view_keeper.h
+++ b/src/coordination/flows/view_keeper.h
@@ -5,6 +5,7 @@
 
 #include "state/clock.h"
 #include "state/packet_view.h"
+#include "state/view_version.h"
 
 /* Entry of the instance list, or what is left of one. */
 struct GbViewEntry {
@@ -25,8 +26,6 @@
 struct GbViewKeeper {
     struct GbClock *clock;
     struct GbRouteTable *routes;
-    /* Revision at which the routes were read. */
-    uint64_t routes_revision;
     /* Struct GbViewEntry by instance id. */
     GHashTable *entries;
     /* Everything up to this revision of the platform is included. */
@@ -45,7 +44,7 @@
 /* Takes routes over if their version is higher. It takes a reference of its
  * own. Returns whether they were taken. */
 bool GbViewKeeper_SetRoutes(struct GbViewKeeper *self,
-                            struct GbRouteTable *routes, uint64_t revision);
+                            struct GbRouteTable *routes);
 
 /* An instance was written at this revision. */
 void GbViewKeeper_Put(struct GbViewKeeper *self,
@@ -73,6 +72,9 @@
  * list are known; NULL otherwise. The caller gets its reference. */
 struct GbPacketView *GbViewKeeper_TakeView(struct GbViewKeeper *self);
 
+/* How much is known. */
+struct GbViewVersion GbViewKeeper_Version(const struct GbViewKeeper *self);
+
 /* Whether routes and list are known. */
 bool GbViewKeeper_IsComplete(const struct GbViewKeeper *self);
 
--- a/src/coordination/flows/view_spread.c
+++ b/src/coordination/flows/view_spread.c
@@ -28,8 +28,9 @@
 static void
 announce_to(struct GbViewSpread *self, uint32_t ipv4)
 {
-    self->port->klass->announce(self->port, ipv4, self->keeper->revision,
-                                age_ms(self));
+    struct GbViewVersion version = GbViewKeeper_Version(self->keeper);
+
+    self->port->klass->announce(self->port, ipv4, &version, age_ms(self));
 }
 
 /* Address number at among listed instances and other peers; 0 if it is the
@@ -67,7 +68,7 @@
             announce_to(self, ipv4);
         }
     }
-    self->announced_revision = self->keeper->revision;
+    self->announced = GbViewKeeper_Version(self->keeper);
 }
 
 static void
@@ -166,27 +167,30 @@
 void
 GbViewSpread_Changed(struct GbViewSpread *self)
 {
-    if (self->keeper->revision != self->announced_revision) {
+    struct GbViewVersion version = GbViewKeeper_Version(self->keeper);
+
+    if (GbViewVersion_IsAhead(&version, &self->announced)) {
         announce_to_some(self, CHANGE_FANOUT);
     }
 }
 
 void
 GbViewSpread_Heard(struct GbViewSpread *self, uint32_t from_ipv4,
-                   uint64_t revision, uint32_t age_ms_)
+                   const struct GbViewVersion *version, uint32_t peer_age_ms)
 {
     int64_t now_us = GbClock_MonotonicUs(self->clock);
-    int64_t confirmed_us = now_us - (int64_t)age_ms_ * US_PER_MS;
+    int64_t confirmed_us = now_us - (int64_t)peer_age_ms * US_PER_MS;
+    struct GbViewVersion own = GbViewKeeper_Version(self->keeper);
 
     remember_peer(self, from_ipv4, now_us);
-    if (revision > self->keeper->revision) {
+    if (GbViewVersion_IsAhead(version, &own)) {
         if (self->pulled_ipv4 == 0) {
             self->pulled_ipv4 = from_ipv4;
             self->port->klass->pull(self->port, from_ipv4);
         }
         return;
     }
-    if (revision < self->keeper->revision && self->replies_left > 0) {
+    if (GbViewVersion_IsAhead(&own, version) && self->replies_left > 0) {
         self->replies_left--;
         announce_to(self, from_ipv4);
     }
--- a/src/coordination/flows/view_spread.h
+++ b/src/coordination/flows/view_spread.h
@@ -10,10 +10,10 @@
 
 /* What the spread of views causes. */
 struct GbViewSpreadPortClass {
-    /* Tells another process what this one has read, and how long ago the
+    /* Tells another process what this one knows, and how long ago the
      * platform confirmed that nothing is newer. */
     void (*announce)(struct GbViewSpreadPort *self, uint32_t peer_ipv4,
-                     uint64_t revision, uint32_t age_ms);
+                     const struct GbViewVersion *version, uint32_t age_ms);
     /* Asks another process for what is newer. Ends with a call of
      * GbViewSpread_Pulled. */
     void (*pull)(struct GbViewSpreadPort *self, uint32_t peer_ipv4);
@@ -54,8 +54,8 @@
      * latest such time that other processes gave. */
     int64_t confirmed_us;
     int64_t peer_confirmed_us;
-    /* Revision that was last announced. */
-    uint64_t announced_revision;
+    /* What was last announced. */
+    struct GbViewVersion announced;
     int64_t next_us;
     /* Silence after which the process reads for itself. */
     int64_t patience_us;
@@ -86,7 +86,7 @@
 
 /* Another process has announced what it has. */
 void GbViewSpread_Heard(struct GbViewSpread *self, uint32_t from_ipv4,
-                        uint64_t revision, uint32_t age_ms);
+                        const struct GbViewVersion *version, uint32_t age_ms);
 
 /* A pull has ended, with or without success. */
 void GbViewSpread_Pulled(struct GbViewSpread *self);
--- a/src/protocol/flow_notice_codec.c
+++ b/src/protocol/flow_notice_codec.c
@@ -55,7 +55,7 @@
     case GB_FLOW_NOTICE_OWNER:
         return HEAD_ITEMS + KEY_ITEMS + 1;
     case GB_FLOW_NOTICE_REVISION:
-        return HEAD_ITEMS + 2;
+        return HEAD_ITEMS + 3;
     default:
         return HEAD_ITEMS + KEY_ITEMS;
     }
@@ -76,7 +76,8 @@
         put_load(&writer, &notice->load);
         break;
     case GB_FLOW_NOTICE_REVISION:
-        GbWriter_PutUint(&writer, notice->revision);
+        GbWriter_PutUint(&writer, notice->version.revision);
+        GbWriter_PutUint(&writer, notice->version.routes_version);
         GbWriter_PutUint(&writer, notice->age_ms);
         break;
     case GB_FLOW_NOTICE_OWNER:
@@ -106,7 +107,8 @@
         read_load(&reader, &notice->load);
         break;
     case GB_FLOW_NOTICE_REVISION:
-        notice->revision = GbReader_Uint(&reader, UINT64_MAX);
+        notice->version.revision = GbReader_Uint(&reader, UINT64_MAX);
+        notice->version.routes_version = GbReader_Uint(&reader, UINT64_MAX);
         notice->age_ms = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
         break;
     case GB_FLOW_NOTICE_OWNER:
--- a/src/protocol/view_delta.c
+++ b/src/protocol/view_delta.c
@@ -8,7 +8,7 @@
 #define RECORD_BYTES_MAX 512
 
 /* Items of each kind of record. */
-#define HEAD_ITEMS 7
+#define HEAD_ITEMS 6
 #define ROUTE_ITEMS 7
 #define INSTANCE_ITEMS 10
 
@@ -21,7 +21,6 @@
     uint32_t route_count;
     uint32_t instance_count;
     struct GbRouteTable *routes;
-    uint64_t routes_revision;
     /* Struct GbViewEntry. */
     GArray *entries;
 };
@@ -57,7 +56,6 @@
     GbWriter_PutUint(&writer, is_whole);
     GbWriter_PutUint(&writer, route_count);
     GbWriter_PutUint(&writer, instance_count);
-    GbWriter_PutUint(&writer, keeper->routes_revision);
     GbWriter_PutUint(&writer,
                      keeper->routes != NULL ? keeper->routes->version : 0);
     GbWriter_PutUint(
@@ -128,7 +126,6 @@
     self->is_whole = GbReader_Uint(&reader, 1) == 1;
     self->route_count = (uint32_t)GbReader_Uint(&reader, GB_ROUTES_MAX);
     self->instance_count = (uint32_t)GbReader_Uint(&reader, GB_INSTANCES_MAX);
-    self->routes_revision = GbReader_Uint(&reader, UINT64_MAX);
     *version = GbReader_Uint(&reader, UINT64_MAX);
     *idle_timeout_ms = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
     return end_record(self, &reader);
@@ -256,9 +253,10 @@
 }
 
 GByteArray *
-GbViewDelta_Write(const struct GbViewKeeper *keeper, uint64_t since)
+GbViewDelta_Write(const struct GbViewKeeper *keeper,
+                  const struct GbViewVersion *since)
 {
-    bool is_whole = !GbViewKeeper_KnowsSince(keeper, since);
+    bool is_whole = !GbViewKeeper_KnowsSince(keeper, since->revision);
     const struct GbRouteTable *routes = keeper->routes;
     GByteArray *out = g_byte_array_new();
     uint32_t instance_count = 0;
@@ -266,12 +264,12 @@
     GHashTableIter entries;
     gpointer value;
 
-    if (routes != NULL && (is_whole || keeper->routes_revision > since)) {
+    if (routes != NULL && routes->version > since->routes_version) {
         route_count = routes->count;
     }
     g_hash_table_iter_init(&entries, keeper->entries);
     while (g_hash_table_iter_next(&entries, NULL, &value)) {
-        instance_count += is_included(value, since, is_whole);
+        instance_count += is_included(value, since->revision, is_whole);
     }
     write_head(out, keeper, is_whole, route_count, instance_count);
     for (uint32_t i = 0; i < route_count; i++) {
@@ -279,7 +277,7 @@
     }
     g_hash_table_iter_init(&entries, keeper->entries);
     while (g_hash_table_iter_next(&entries, NULL, &value)) {
-        if (is_included(value, since, is_whole)) {
+        if (is_included(value, since->revision, is_whole)) {
             write_entry(out, value);
         }
     }
@@ -297,8 +295,7 @@
     if (read_all(&reading)) {
         status = GB_PROTOCOL_OK;
         if (reading.routes != NULL) {
-            GbViewKeeper_SetRoutes(keeper, reading.routes,
-                                   reading.routes_revision);
+            GbViewKeeper_SetRoutes(keeper, reading.routes);
         }
         if (reading.is_whole) {
             apply_whole(keeper, &reading);
--- a/src/protocol/view_delta.h
+++ b/src/protocol/view_delta.h
@@ -10,10 +10,10 @@
  * msgpack arrays, a head, then the routes if they are newer, then instances,
  * either those that have changed or all.
  *
- * Writes what is newer than since, or everything if not all changes since
+ * Writes what is newer than since, or all instances if not all changes since
  * then are known. */
 GByteArray *GbViewDelta_Write(const struct GbViewKeeper *keeper,
-                              uint64_t since);
+                              const struct GbViewVersion *since);
 
 /* Reads a delta and gives it to the keeper, as a whole or not at all.
  *
--- a/src/state/flow_notice.h
+++ b/src/state/flow_notice.h
@@ -3,6 +3,7 @@
 
 #include "state/message.h"
 #include "state/packet.h"
+#include "state/view_version.h"
 
 enum GbFlowNoticeKind {
     /* An agent says how loaded its target is. */
@@ -15,7 +16,7 @@
     GB_FLOW_NOTICE_NOT_OWNED,
     /* Answers that the receiver started too recently to know. */
     GB_FLOW_NOTICE_UNSURE,
-    /* Says what the sender has read of the platform's state. */
+    /* Says what the sender knows of the platform's state. */
     GB_FLOW_NOTICE_REVISION,
     GB_FLOW_NOTICE_KIND_END
 };
@@ -31,9 +32,9 @@
     uint32_t owner_ipv4;
     /* LOAD only. */
     struct GbLoad load;
-    /* REVISION only: what the sender has read, and the time since the platform
+    /* REVISION only: what the sender knows, and the time since the platform
      * has confirmed that nothing is newer. */
-    uint64_t revision;
+    struct GbViewVersion version;
     uint32_t age_ms;
 };
 
--- /dev/null
+++ b/src/state/view_version.h
@@ -0,0 +1,23 @@
+#ifndef GB_STATE_VIEW_VERSION_H
+#define GB_STATE_VIEW_VERSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* How much a process knows. The two parts are read separately, and either may
+ * be ahead. */
+struct GbViewVersion {
+    /* All changes of instances up to this revision are included. */
+    uint64_t revision;
+    uint64_t routes_version;
+};
+
+/* Whether a is ahead of b in either part. */
+static inline bool
+GbViewVersion_IsAhead(const struct GbViewVersion *a,
+                      const struct GbViewVersion *b)
+{
+    return a->revision > b->revision || a->routes_version > b->routes_version;
+}
+
+#endif
--- a/src/transport/packet_mails.c
+++ b/src/transport/packet_mails.c
@@ -39,26 +39,27 @@
 }
 
 struct GbMail *
-GbRevisionNoticeMail_New(uint32_t peer_ipv4, uint64_t revision,
-                         uint32_t age_ms)
+GbRevisionNoticeMail_New(uint32_t peer_ipv4,
+                         const struct GbViewVersion *version, uint32_t age_ms)
 {
     struct GbRevisionNoticeMail *mail = g_new0(struct GbRevisionNoticeMail, 1);
 
     mail->super.klass = &GbRevisionNoticeMail_Class;
     mail->peer_ipv4 = peer_ipv4;
-    mail->revision = revision;
+    mail->version = *version;
     mail->age_ms = age_ms;
     return &mail->super;
 }
 
 struct GbMail *
-GbRevisionHeardMail_New(uint32_t peer_ipv4, uint64_t revision, uint32_t age_ms)
+GbRevisionHeardMail_New(uint32_t peer_ipv4,
+                        const struct GbViewVersion *version, uint32_t age_ms)
 {
     struct GbRevisionHeardMail *mail = g_new0(struct GbRevisionHeardMail, 1);
 
     mail->super.klass = &GbRevisionHeardMail_Class;
     mail->peer_ipv4 = peer_ipv4;
-    mail->revision = revision;
+    mail->version = *version;
     mail->age_ms = age_ms;
     return &mail->super;
 }
--- a/src/transport/packet_mails.h
+++ b/src/transport/packet_mails.h
@@ -3,6 +3,7 @@
 
 #include "state/counters.h"
 #include "state/packet_view.h"
+#include "state/view_version.h"
 #include "transport/task.h"
 
 /* Messages between the tasks of a process that forwards packets. */
@@ -22,7 +23,7 @@
 struct GbRevisionNoticeMail {
     struct GbMail super;
     uint32_t peer_ipv4;
-    uint64_t revision;
+    struct GbViewVersion version;
     uint32_t age_ms;
 };
 
@@ -30,7 +31,7 @@
 struct GbRevisionHeardMail {
     struct GbMail super;
     uint32_t peer_ipv4;
-    uint64_t revision;
+    struct GbViewVersion version;
     uint32_t age_ms;
 };
 
@@ -51,9 +52,11 @@
 /* Takes its own reference of view. */
 struct GbMail *GbPacketViewMail_New(struct GbPacketView *view);
 struct GbMail *GbConfirmMail_New(void);
-struct GbMail *GbRevisionNoticeMail_New(uint32_t peer_ipv4, uint64_t revision,
+struct GbMail *GbRevisionNoticeMail_New(uint32_t peer_ipv4,
+                                        const struct GbViewVersion *version,
                                         uint32_t age_ms);
-struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4, uint64_t revision,
+struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4,
+                                       const struct GbViewVersion *version,
                                        uint32_t age_ms);
 struct GbMail *GbPacketReportMail_New(const struct GbCounters *counters,
                                       int64_t quiet_us);
--- a/src/transport/packet_task.c
+++ b/src/transport/packet_task.c
@@ -60,7 +60,7 @@
     }
     if (notice.kind == GB_FLOW_NOTICE_REVISION) {
         GbTask_Offer(self->config.control,
-                     GbRevisionHeardMail_New(from->ipv4, notice.revision,
+                     GbRevisionHeardMail_New(from->ipv4, &notice.version,
                                              notice.age_ms));
         return;
     }
@@ -73,7 +73,7 @@
 {
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_REVISION};
 
-    notice.revision = mail->revision;
+    notice.version = mail->version;
     notice.age_ms = mail->age_ms;
     GbPacketTask_Notify(&self->port, &notice, mail->peer_ipv4);
 }
--- a/src/transport/view_exchange.c
+++ b/src/transport/view_exchange.c
@@ -15,24 +15,50 @@
     ((struct GbViewExchange *)((char *)(pointer)-offsetof(                    \
         struct GbViewExchange, member)))
 
-/* The digest of a pull's head is not used; that of an answer names the
- * revision that the difference starts from, so that it is encoded once for
- * all who ask from there. */
+/* The head of a pull names the version that the peer has: its digest begins
+ * with the version of the routes. That of an answer is higher if the answer
+ * brings anything, and different for each version that it starts from, since
+ * the server encodes an answer once for all pulls with the same head. */
+static void
+write_digest(uint8_t digest[GB_DIGEST_BYTES], uint64_t routes_version,
+             uint64_t start)
+{
+    uint64_t parts[2] = {GUINT64_TO_BE(routes_version), GUINT64_TO_BE(start)};
+
+    memcpy(digest, parts, GB_DIGEST_BYTES);
+}
+
+static struct GbViewVersion
+read_version(const struct GbDocumentHead *head)
+{
+    struct GbViewVersion version = {.revision = head->revision};
+    uint64_t routes_version;
+
+    memcpy(&routes_version, head->digest, sizeof(routes_version));
+    version.routes_version = GUINT64_FROM_BE(routes_version);
+    return version;
+}
+
 static struct GbDocument *
 highest(struct GbPeerHandler *handler, const struct GbDocumentHead *known)
 {
     struct GbViewExchange *self = OF_MEMBER(handler, handler);
+    struct GbViewVersion own = GbViewKeeper_Version(self->keeper);
+    struct GbViewVersion since = read_version(known);
     GByteArray *bytes;
 
     GbDocument_Unref(self->answer);
     self->answer = NULL;
-    if (!GbViewKeeper_IsComplete(self->keeper)) {
+    if (!GbViewKeeper_IsComplete(self->keeper) ||
+        !GbViewVersion_IsAhead(&own, &since)) {
         return NULL;
     }
-    bytes = GbViewDelta_Write(self->keeper, known->revision);
+    bytes = GbViewDelta_Write(self->keeper, &since);
     self->answer = GbDocument_New();
-    self->answer->revision = self->keeper->revision;
-    memcpy(self->answer->digest, &known->revision, sizeof(known->revision));
+    self->answer->revision = MAX(own.revision, since.revision);
+    write_digest(self->answer->digest,
+                 MAX(own.routes_version, since.routes_version),
+                 since.revision + since.routes_version + 1);
     self->answer->size_bytes = bytes->len;
     self->answer->bytes = g_byte_array_free(bytes, FALSE);
     return self->answer;
@@ -62,8 +88,10 @@
         return;
     }
     GbLog_Event(GB_LOG_INFO, "view_pulled",
-                "peer=%s revision=%" PRIu64 " before=%" PRIu64,
-                GbAddress_Format(&peer, text), self->keeper->revision, before);
+                "peer=%s revision=%" PRIu64 " before=%" PRIu64
+                " routes=%" PRIu64,
+                GbAddress_Format(&peer, text), self->keeper->revision, before,
+                GbViewKeeper_Version(self->keeper).routes_version);
     self->listener->updated(self->listener, peer_ipv4);
 }
 
@@ -129,9 +157,11 @@
 {
     static const struct timeval limit = {0, PULL_TIMEOUT_MS * US_PER_MS};
     struct GbAddress peer = {peer_ipv4, self->port};
-    struct GbDocumentHead known = {.revision = self->keeper->revision};
+    struct GbViewVersion own = GbViewKeeper_Version(self->keeper);
+    struct GbDocumentHead known = {.revision = own.revision};
 
     GbCounters_Add(self->counters, GB_COUNTER_PEER_PULLS, 1);
+    write_digest(known.digest, own.routes_version, 0);
     self->pulled_ipv4 = peer_ipv4;
     event_add(self->timeout, &limit);
     GbPeerClient_Pull(&self->client, &peer, &known);
--- a/tests/test_store_feed.c
+++ b/tests/test_store_feed.c
@@ -117,6 +117,7 @@
                                     .watch_count = G_N_ELEMENTS(watches),
                                     .before_watch = change_config_in_gap}};
     struct GbViewKeeper peer;
+    struct GbViewVersion since = {10, 3};
     GByteArray *delta;
 
     open_bench(&bench);
@@ -127,7 +128,7 @@
     g_assert_cmpuint(bench.keeper.routes->version, ==, 5);
     g_assert_cmpuint(bench.keeper.revision, ==, 14);
     /* A process that has all up to 10 gets the routes. */
-    delta = GbViewDelta_Write(&bench.keeper, 10);
+    delta = GbViewDelta_Write(&bench.keeper, &since);
     GbViewKeeper_Init(&peer, &bench.clock.super);
     peer.has_list = true;
     g_assert_cmpint(GbViewDelta_Apply(&peer, delta->data, delta->len), ==,
