--- a/src/coordination/flows/view_keeper.c
+++ b/src/coordination/flows/view_keeper.c
@@ -137,7 +137,7 @@
         self->is_changed = true;
     }
     else if (entry->is_removed ||
-             memcmp(&entry->instance, instance, sizeof(*instance)) != 0) {
+             !GbInstance_Equal(&entry->instance, instance)) {
         entry->instance = *instance;
         self->is_changed = true;
     }
--- a/src/state/instance_list.c
+++ b/src/state/instance_list.c
@@ -10,6 +10,18 @@
     return XXH64(name, strlen(name), 0);
 }
 
+bool
+GbInstance_Equal(const struct GbInstance *a, const struct GbInstance *b)
+{
+    return a->id == b->id && a->role == b->role &&
+           a->service_id == b->service_id && a->weight == b->weight &&
+           a->cold_ms == b->cold_ms && a->is_leaving == b->is_leaving &&
+           GbAddress_Equal(&a->address, &b->address) &&
+           strcmp(a->name, b->name) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           strcmp(a->data_centre, b->data_centre) == 0;
+}
+
 struct GbInstanceList *
 GbInstanceList_New(void)
 {
--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -41,6 +41,9 @@
 /* Id of the instance with this name. */
 uint64_t GbInstance_IdOfName(const char *name);
 
+/* Whether all fields are the same. */
+bool GbInstance_Equal(const struct GbInstance *a, const struct GbInstance *b);
+
 /* Allocates an empty list with one reference. */
 struct GbInstanceList *GbInstanceList_New(void);
 
--- a/src/state/packet_view.c
+++ b/src/state/packet_view.c
@@ -39,7 +39,7 @@
             sorted[count++] = &list->instances[i];
         }
     }
-    qsort(sorted, count, sizeof(*sorted), compare_instance);
+    qsort(sorted, count, sizeof(const struct GbInstance *), compare_instance);
     self->candidates = g_new0(struct GbCandidates, count);
     for (uint32_t i = 0; i < count; i++) {
         struct GbCandidates *group;
