Log to standard output without blocking

Cause: log lines went to standard error through stdio, so that a reader that stops would stop the process. Change: a line is written only when the output has room for it; lines that are lost are counted and the count is logged as soon as there is room.

--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -1,10 +1,14 @@
 #include "transport/log.h"
 
+#include <inttypes.h>
 #include <log4c.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_BYTES 1024
 #define TIME_BYTES 32
@@ -40,12 +44,52 @@
 
 static const log4c_layout_type_t line_layout = {"guavabend_line", format_line};
 
-/* The stream types of log4c put the appender's name before each line. */
+/* Lines that the output had no room for since the last one was written. */
+static uint64_t lines_lost;
+/* Tasks write one at a time, since a writable pipe has room for one line
+ * only. */
+static pthread_mutex_t output_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* A pipe that polls as writable takes PIPE_BUF bytes, which is more than a
+ * line, so that the write does not block. */
+static bool
+write_at_once(const char *line)
+{
+    struct pollfd output = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+        return false;
+    }
+    return write(STDOUT_FILENO, line, strlen(line)) >= 0;
+}
+
+static void
+write_lost(void)
+{
+    char line[LINE_BYTES];
+
+    snprintf(line, sizeof(line),
+             "level=WARN event=lines_lost count=%" PRIu64 "\n", lines_lost);
+    if (write_at_once(line)) {
+        lines_lost = 0;
+    }
+}
+
+/* The stream types of log4c put the appender's name before each line, and
+ * block when nobody reads. */
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
     (void)appender;
-    return fputs(event->evt_rendered_msg, stderr) >= 0 ? 0 : -1;
+    pthread_mutex_lock(&output_lock);
+    if (lines_lost > 0) {
+        write_lost();
+    }
+    if (lines_lost > 0 || !write_at_once(event->evt_rendered_msg)) {
+        lines_lost++;
+    }
+    pthread_mutex_unlock(&output_lock);
+    return 0;
 }
 
 static const log4c_appender_type_t line_appender = {.name = "guavabend_line",
@@ -67,7 +111,7 @@
         layout = log4c_layout_get("guavabend_line");
         log4c_layout_set_type(layout, &line_layout);
         log4c_appender_type_set(&line_appender);
-        appender = log4c_appender_get("guavabend_stderr");
+        appender = log4c_appender_get("guavabend_stdout");
         log4c_appender_set_type(appender, &line_appender);
         log4c_appender_set_layout(appender, layout);
         category = log4c_category_get(program);
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -5,7 +5,8 @@
 
 enum GbLogLevel { GB_LOG_DEBUG, GB_LOG_INFO, GB_LOG_WARN, GB_LOG_ERROR };
 
-/* Starts logging to standard error. program is written on each line.
+/* Starts logging to standard output, which never blocks: lines that it has no
+ * room for are counted and lost. program is written on each line.
  * level is "debug", "info", "warn" or "error"; returns false on any other. */
 bool GbLog_Init(const char *program, const char *level);
 
