--- /dev/null
+++ b/tests/test_node_file.c
@@ -0,0 +1,121 @@
+#include <glib.h>
+#include <string.h>
+
+#include "node_file.h"
+
+#define BALANCER                                                              \
+    "{\"node\":\"edge-1\",\"zone\":\"a\",\"ip\":\"10.1.0.10\","               \
+    "\"listen\":{\"datagramAddr\":\"10.1.0.10:8172\","                        \
+    "\"ready\":\"10.1.0.10:8167\",\"control\":\"10.1.0.10:8166\"},"           \
+    "\"portRange\":[7720,7735],"                                              \
+    "\"seeds\":[\"10.1.0.10:8166\",\"10.2.0.40:8166\"],"                      \
+    "\"platform\":{\"address\":\"10.200.1.7:8169\"},\"new\":{\"a\":1}}"
+
+struct NodeCase {
+    const char *name;
+    /* What is replaced in the text of a balancer, and by what. */
+    const char *old;
+    const char *new;
+    bool is_agent;
+    enum GbPlatformStatus status;
+    /* Part of the message; NULL if there is none. */
+    const char *message;
+};
+
+static const struct NodeCase node_cases[] = {
+    {"balancer", "", "", false, GB_PLATFORM_OK, NULL},
+    {"no seeds", "\"seeds\":[\"10.1.0.10:8166\",\"10.2.0.40:8166\"],", "",
+     false, GB_PLATFORM_OK, NULL},
+    {"agent without target", "", "", true, GB_PLATFORM_MALFORMED,
+     "listen.outbound, app, service"},
+    {"no JSON", "{\"node\"", "{node", false, GB_PLATFORM_MALFORMED, "line 1"},
+    {"no name", "\"node\":\"edge-1\",", "", false, GB_PLATFORM_MALFORMED,
+     "node"},
+    {"wrong address", "10.200.1.7:8169", "10.200.1.7", false,
+     GB_PLATFORM_MALFORMED, "platform.address"},
+    {"address of another type", "\"10.1.0.10:8167\"", "8167", false,
+     GB_PLATFORM_MALFORMED, "listen.ready"},
+    {"ports the wrong way round", "7720,7735", "7735,7720", false,
+     GB_PLATFORM_MALFORMED, "portRange"},
+    {"port out of range", "7735", "77350", false, GB_PLATFORM_MALFORMED,
+     "portRange"},
+    {"seed that is none", "10.2.0.40:8166", "seed", false,
+     GB_PLATFORM_MALFORMED, "seeds"},
+};
+
+static gchar *
+replaced(const struct NodeCase *row)
+{
+    gchar **parts;
+    gchar *text;
+
+    if (row->old[0] == '\0') {
+        return g_strdup(BALANCER);
+    }
+    parts = g_strsplit(BALANCER, row->old, -1);
+    text = g_strjoinv(row->new, parts);
+    g_strfreev(parts);
+    return text;
+}
+
+/* Guards against a process that starts with settings that it cannot use, and
+ * against messages that do not name the field. */
+static void
+test_parse(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(node_cases); i++) {
+        const struct NodeCase *row = &node_cases[i];
+        gchar *text = replaced(row);
+        struct GbLastMessage last = {""};
+        struct GbNodeFile node;
+
+        g_test_message("%s", row->name);
+        g_assert_cmpint(GbNodeFile_Parse(&node, text, row->is_agent, &last),
+                        ==, row->status);
+        if (row->message != NULL) {
+            g_assert_nonnull(strstr(last.text, row->message));
+        }
+        g_free(text);
+    }
+}
+
+static void
+test_values(void)
+{
+    struct GbLastMessage last;
+    struct GbNodeFile node;
+
+    g_assert_cmpint(GbNodeFile_Parse(&node, BALANCER, false, &last), ==,
+                    GB_PLATFORM_OK);
+    g_assert_cmpstr(node.name, ==, "edge-1");
+    g_assert_cmpstr(node.data_centre, ==, "a");
+    g_assert_cmphex(node.ipv4, ==, 0x0a01000a);
+    g_assert_cmpuint(node.packets.port, ==, 8172);
+    g_assert_cmpuint(node.readiness.port, ==, 8167);
+    g_assert_cmpuint(node.first_peer_port, ==, 7720);
+    g_assert_cmpuint(node.last_peer_port, ==, 7735);
+    g_assert_cmpuint(node.seed_count, ==, 2);
+    g_assert_cmpuint(node.store.port, ==, 8169);
+}
+
+static void
+test_missing_file(void)
+{
+    struct GbLastMessage last;
+    struct GbNodeFile node;
+
+    g_assert_cmpint(
+        GbNodeFile_Load(&node, "/nonexistent/node.json", false, &last), ==,
+        GB_PLATFORM_UNREADABLE);
+    g_assert_nonnull(strstr(last.text, "node.json"));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/node-file/parse", test_parse);
+    g_test_add_func("/node-file/values", test_values);
+    g_test_add_func("/node-file/missing-file", test_missing_file);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_steering.c
@@ -0,0 +1,233 @@
+#include <glib.h>
+
+#include "support/flow_fixture.h"
+
+#define AGENTS 4
+#define CACHE_CAPACITY 64
+#define MS 1000
+
+struct Bench {
+    struct GbFlowRecorder recorder;
+    struct GbManualClock clock;
+    struct GbCounters counters;
+    struct GbSteering steering;
+    uint8_t bytes[64];
+};
+
+static void
+init_bench(struct Bench *bench, const char *data_centre)
+{
+    GbFlowRecorder_Init(&bench->recorder);
+    GbManualClock_Init(&bench->clock, 1000000000, 0);
+    GbCounters_Init(&bench->counters);
+    GbSteering_Init(&bench->steering, &bench->recorder.super, data_centre,
+                    CACHE_CAPACITY, &bench->clock.super, &bench->counters);
+    GbSteering_SetView(&bench->steering, GbFlowFixture_View(AGENTS, 1));
+    GbSteering_Confirm(&bench->steering);
+}
+
+static void
+finish_bench(struct Bench *bench)
+{
+    GbSteering_Finish(&bench->steering);
+    GbFlowRecorder_Finish(&bench->recorder);
+}
+
+static uint32_t
+send_packet(struct Bench *bench, const struct GbFlowKey *key, uint8_t flags)
+{
+    struct GbPacket packet = {.key = *key, .flags = flags};
+    const struct GbFlowAction *action;
+
+    packet.bytes = bench->bytes;
+    packet.size_bytes = 32;
+    GbFlowRecorder_Clear(&bench->recorder);
+    GbSteering_Receive(&bench->steering, &packet);
+    action = GbFlowRecorder_Last(&bench->recorder, GB_FLOW_ACTION_FORWARD);
+    return action != NULL ? action->to_ipv4 : 0;
+}
+
+struct RefuseCase {
+    const char *name;
+    uint8_t flags;
+    /* Whether the address has a route. */
+    bool has_route;
+    bool are_routes_current;
+    bool is_forwarded;
+    bool is_reset;
+};
+
+static const struct RefuseCase refuse_cases[] = {
+    {"opening", GB_PACKET_SYN, true, true, true, false},
+    {"later packet", GB_PACKET_ACK, true, true, true, false},
+    {"answer of a target", GB_PACKET_SYN | GB_PACKET_ACK, true, true, false,
+     false},
+    {"given back by a target", GB_PACKET_SYN | GB_PACKET_RETURNED, true, true,
+     false, false},
+    {"opening without route", GB_PACKET_SYN, false, true, false, true},
+    {"opening without route, old routes", GB_PACKET_SYN, false, false, false,
+     false},
+    {"later packet without route", GB_PACKET_ACK, false, true, false, false},
+    {"reset of a client", GB_PACKET_RST, true, true, true, false},
+};
+
+/* Guards against packets that must not be forwarded, and against resets for
+ * routes that this balancer has not heard of yet. */
+static void
+test_what_is_forwarded(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(refuse_cases); i++) {
+        const struct RefuseCase *row = &refuse_cases[i];
+        struct GbFlowKey key = GbFlowFixture_Key(1);
+        struct Bench bench;
+
+        g_test_message("%s", row->name);
+        init_bench(&bench, "a");
+        if (!row->has_route) {
+            key.service_port++;
+        }
+        if (!row->are_routes_current) {
+            GbManualClock_Advance(&bench.clock, 2000 * MS);
+        }
+        g_assert_true((send_packet(&bench, &key, row->flags) != 0) ==
+                      row->is_forwarded);
+        g_assert_true(
+            (GbFlowRecorder_Count(&bench.recorder, GB_FLOW_ACTION_RESET) ==
+             1) == row->is_reset);
+        finish_bench(&bench);
+    }
+}
+
+/* Fault pattern: the fabric moves all flows to another balancer, which has
+ * never seen them. Guards against balancers that choose different agents. */
+static void
+test_two_balancers_agree(void)
+{
+    struct Bench one;
+    struct Bench other;
+
+    init_bench(&one, "a");
+    init_bench(&other, "a");
+    for (uint32_t client = 0; client < 50; client++) {
+        struct GbFlowKey key = GbFlowFixture_Key(client);
+
+        g_assert_cmpuint(send_packet(&one, &key, GB_PACKET_SYN), ==,
+                         send_packet(&other, &key, GB_PACKET_ACK));
+    }
+    finish_bench(&one);
+    finish_bench(&other);
+}
+
+/* Load pattern: a client retries from new ports. Guards against tries that
+ * reach different agents, none of which knows them as retries. */
+static void
+test_tries_of_a_client_reach_one_agent(void)
+{
+    struct GbFlowKey key = GbFlowFixture_Key(1);
+    struct Bench bench;
+    uint32_t first;
+
+    init_bench(&bench, "a");
+    first = send_packet(&bench, &key, GB_PACKET_SYN);
+    for (int try = 0; try < 20; try++) {
+        key.client_port++;
+        g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_SYN), ==, first);
+    }
+    finish_bench(&bench);
+}
+
+/* Guards against a hand-over that later packets do not follow. */
+static void
+test_owner_notice_is_followed(void)
+{
+    struct GbFlowKey key = GbFlowFixture_Key(1);
+    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER, .key = key};
+    struct Bench bench;
+    uint32_t first;
+
+    init_bench(&bench, "a");
+    first = send_packet(&bench, &key, GB_PACKET_SYN);
+    notice.owner_ipv4 = first + 1000;
+    GbSteering_Heard(&bench.steering, first, &notice);
+    g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_ACK), ==,
+                     notice.owner_ipv4);
+    finish_bench(&bench);
+}
+
+/* Fault pattern: the instance of an agent loses power. Guards against copies
+ * of openings that all go to the silent agent, while open flows stay. */
+static void
+test_agent_loses_power(void)
+{
+    struct GbFlowKey key = GbFlowFixture_Key(1);
+    struct GbFlowKey later = key;
+    struct Bench bench;
+    uint32_t first;
+
+    init_bench(&bench, "a");
+    first = send_packet(&bench, &key, GB_PACKET_SYN);
+    for (int i = 0; i < 4; i++) {
+        GbManualClock_Advance(&bench.clock, 110 * MS);
+        later.client_port++;
+        send_packet(&bench, &later, GB_PACKET_SYN);
+    }
+    g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_SYN), !=, first);
+    finish_bench(&bench);
+}
+
+/* Guards against an agent that is heard and suspected all the same. */
+static void
+test_heard_agent_is_not_suspected(void)
+{
+    struct GbFlowKey key = GbFlowFixture_Key(1);
+    struct GbFlowNotice load = {.kind = GB_FLOW_NOTICE_LOAD};
+    struct GbFlowKey later = key;
+    struct Bench bench;
+    uint32_t first;
+
+    init_bench(&bench, "a");
+    first = send_packet(&bench, &key, GB_PACKET_SYN);
+    for (int i = 0; i < 8; i++) {
+        GbManualClock_Advance(&bench.clock, 110 * MS);
+        later.client_port++;
+        send_packet(&bench, &later, GB_PACKET_SYN);
+        GbSteering_Heard(&bench.steering, first, &load);
+    }
+    g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_SYN), ==, first);
+    finish_bench(&bench);
+}
+
+/* Guards against state that grows with the flows of clients: more flows than
+ * the cache holds are still forwarded. */
+static void
+test_more_flows_than_the_cache_holds(void)
+{
+    struct Bench bench;
+
+    init_bench(&bench, "a");
+    for (uint32_t client = 0; client < 10 * CACHE_CAPACITY; client++) {
+        struct GbFlowKey key = GbFlowFixture_Key(client);
+
+        g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_SYN), !=, 0);
+    }
+    g_assert_cmpuint(bench.counters.values[GB_COUNTER_FLOWS_EVICTED], >, 0);
+    finish_bench(&bench);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/steering/what-is-forwarded", test_what_is_forwarded);
+    g_test_add_func("/steering/two-balancers-agree", test_two_balancers_agree);
+    g_test_add_func("/steering/tries-of-a-client-reach-one-agent",
+                    test_tries_of_a_client_reach_one_agent);
+    g_test_add_func("/steering/owner-notice-is-followed",
+                    test_owner_notice_is_followed);
+    g_test_add_func("/steering/agent-loses-power", test_agent_loses_power);
+    g_test_add_func("/steering/heard-agent-is-not-suspected",
+                    test_heard_agent_is_not_suspected);
+    g_test_add_func("/steering/more-flows-than-the-cache-holds",
+                    test_more_flows_than_the_cache_holds);
+    return g_test_run();
+}
