Give coordination rooms, and read the daemons' log from standard output

Cause: src/coordination held 60 pairs in one folder. Change: rooms calls, flows, placement and documents; the layers stay. The test reads the other stream and checks the same.

--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 	  tests/fuzz/fuzz_datagram.c \
 	  $(addprefix tests/support/,fleet.c hostile.c sample_messages.c \
 	    wire_fixture.c) src/state/*.c \
-	  src/coordination/*.c \
+	  src/coordination/*/*.c \
 	  src/protocol/*.c \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
 	  $$(pkg-config --libs glib-2.0 libsodium libxxhash msgpack jansson) -lm
--- a/src/coordination/admission.c
+++ b/src/coordination/calls/admission.c
@@ -1,7 +1,7 @@
-#include "coordination/admission.h"
+#include "coordination/calls/admission.h"
 
-#include "coordination/delivery.h"
-#include "coordination/reply.h"
+#include "coordination/calls/delivery.h"
+#include "coordination/calls/reply.h"
 
 #define US_PER_MS 1000
 /* Requests that one flow may have at an agent at once. Those that are kept
--- a/src/coordination/admission.h
+++ b/src/coordination/calls/admission.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_ADMISSION_H
-#define GB_COORDINATION_ADMISSION_H
+#ifndef GB_COORDINATION_CALLS_ADMISSION_H
+#define GB_COORDINATION_CALLS_ADMISSION_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 
 /* Handles a CALL: repeats what became of it, binds its flow, or admits or
  * refuses it. */
--- a/src/coordination/agent.c
+++ b/src/coordination/calls/agent.c
@@ -1,11 +1,11 @@
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 
 #include <string.h>
 
-#include "coordination/admission.h"
-#include "coordination/delivery.h"
-#include "coordination/membership.h"
-#include "coordination/reply.h"
+#include "coordination/calls/admission.h"
+#include "coordination/calls/delivery.h"
+#include "coordination/calls/membership.h"
+#include "coordination/calls/reply.h"
 
 /* Far longer than callers use a token. */
 #define FLOW_IDLE_US INT64_C(300000000)
--- a/src/coordination/agent.h
+++ b/src/coordination/calls/agent.h
@@ -1,13 +1,13 @@
-#ifndef GB_COORDINATION_AGENT_H
-#define GB_COORDINATION_AGENT_H
-
-#include "coordination/agent_port.h"
-#include "coordination/handover.h"
-#include "coordination/pool.h"
-#include "coordination/rate_limit.h"
-#include "coordination/reservations.h"
-#include "coordination/slots.h"
-#include "coordination/target_state.h"
+#ifndef GB_COORDINATION_CALLS_AGENT_H
+#define GB_COORDINATION_CALLS_AGENT_H
+
+#include "coordination/calls/agent_port.h"
+#include "coordination/calls/handover.h"
+#include "coordination/calls/rate_limit.h"
+#include "coordination/calls/reservations.h"
+#include "coordination/calls/slots.h"
+#include "coordination/calls/target_state.h"
+#include "coordination/placement/pool.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/flow_table.h"
--- a/src/coordination/balancer.h
+++ b/src/coordination/calls/balancer.h
@@ -1,10 +1,10 @@
-#ifndef GB_COORDINATION_BALANCER_H
-#define GB_COORDINATION_BALANCER_H
+#ifndef GB_COORDINATION_CALLS_BALANCER_H
+#define GB_COORDINATION_CALLS_BALANCER_H
 
-#include "coordination/balancer_port.h"
-#include "coordination/placement.h"
+#include "coordination/calls/balancer_port.h"
+#include "coordination/placement/placement.h"
+#include "coordination/placement/suspicion.h"
 #include "coordination/status.h"
-#include "coordination/suspicion.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/message.h"
--- a/src/coordination/call.c
+++ b/src/coordination/calls/call.c
@@ -1,4 +1,4 @@
-#include "coordination/call.h"
+#include "coordination/calls/call.h"
 
 #include <assert.h>
 #include <string.h>
--- a/src/coordination/call.h
+++ b/src/coordination/calls/call.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_CALL_H
-#define GB_COORDINATION_CALL_H
+#ifndef GB_COORDINATION_CALLS_CALL_H
+#define GB_COORDINATION_CALLS_CALL_H
 
-#include "coordination/caller.h"
+#include "coordination/calls/caller.h"
 
 /* Submissions of one call that may still be replied to. */
 #define GB_SUBMISSIONS_MAX 8
--- a/src/coordination/call_budget.c
+++ b/src/coordination/calls/call_budget.c
@@ -1,4 +1,4 @@
-#include "coordination/call_budget.h"
+#include "coordination/calls/call_budget.h"
 
 #define REFILL_US INT64_C(5000000)
 #define BURST 4
--- a/src/coordination/call_budget.h
+++ b/src/coordination/calls/call_budget.h
@@ -1,5 +1,5 @@
-#ifndef GB_COORDINATION_CALL_BUDGET_H
-#define GB_COORDINATION_CALL_BUDGET_H
+#ifndef GB_COORDINATION_CALLS_CALL_BUDGET_H
+#define GB_COORDINATION_CALLS_CALL_BUDGET_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/coordination/call_replies.c
+++ b/src/coordination/calls/call_replies.c
@@ -1,8 +1,8 @@
-#include "coordination/call_replies.h"
+#include "coordination/calls/call_replies.h"
 
 #include <string.h>
 
-#include "coordination/call_transfer.h"
+#include "coordination/calls/call_transfer.h"
 
 /* Refusals after which a request is not submitted again. */
 #define REFUSALS_MAX 4
--- a/src/coordination/call_replies.h
+++ b/src/coordination/calls/call_replies.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_CALL_REPLIES_H
-#define GB_COORDINATION_CALL_REPLIES_H
+#ifndef GB_COORDINATION_CALLS_CALL_REPLIES_H
+#define GB_COORDINATION_CALLS_CALL_REPLIES_H
 
-#include "coordination/call.h"
+#include "coordination/calls/call.h"
 
 /* Handles a reply to one of the call's submissions. The call may end. */
 void GbCallReplies_Receive(struct GbCall *call,
--- a/src/coordination/call_timer.c
+++ b/src/coordination/calls/call_timer.c
@@ -1,6 +1,6 @@
-#include "coordination/call_timer.h"
+#include "coordination/calls/call_timer.h"
 
-#include "coordination/call_transfer.h"
+#include "coordination/calls/call_transfer.h"
 
 /* Unanswered repeats after which an idempotent request goes elsewhere. */
 #define REPEATS_BEFORE_MOVE 3
--- a/src/coordination/call_timer.h
+++ b/src/coordination/calls/call_timer.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_CALL_TIMER_H
-#define GB_COORDINATION_CALL_TIMER_H
+#ifndef GB_COORDINATION_CALLS_CALL_TIMER_H
+#define GB_COORDINATION_CALLS_CALL_TIMER_H
 
-#include "coordination/call.h"
+#include "coordination/calls/call.h"
 
 /* Repeats, moves or gives up what has not been answered in time. The call may
  * end. */
--- a/src/coordination/call_transfer.c
+++ b/src/coordination/calls/call_transfer.c
@@ -1,4 +1,4 @@
-#include "coordination/call_transfer.h"
+#include "coordination/calls/call_transfer.h"
 
 static int64_t
 now(const struct GbCall *call)
--- a/src/coordination/call_transfer.h
+++ b/src/coordination/calls/call_transfer.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_CALL_TRANSFER_H
-#define GB_COORDINATION_CALL_TRANSFER_H
+#ifndef GB_COORDINATION_CALLS_CALL_TRANSFER_H
+#define GB_COORDINATION_CALLS_CALL_TRANSFER_H
 
-#include "coordination/call.h"
+#include "coordination/calls/call.h"
 
 /* Transfer of the answer of an accepted submission. */
 
--- a/src/coordination/caller.c
+++ b/src/coordination/calls/caller.c
@@ -1,11 +1,11 @@
-#include "coordination/caller.h"
+#include "coordination/calls/caller.h"
 
 #include <assert.h>
 #include <string.h>
 
-#include "coordination/call.h"
-#include "coordination/call_replies.h"
-#include "coordination/call_timer.h"
+#include "coordination/calls/call.h"
+#include "coordination/calls/call_replies.h"
+#include "coordination/calls/call_timer.h"
 
 static struct GbCall *
 find_call(const struct GbCaller *self, const struct GbMessage *message)
--- a/src/coordination/caller.h
+++ b/src/coordination/calls/caller.h
@@ -1,13 +1,13 @@
-#ifndef GB_COORDINATION_CALLER_H
-#define GB_COORDINATION_CALLER_H
+#ifndef GB_COORDINATION_CALLS_CALLER_H
+#define GB_COORDINATION_CALLS_CALLER_H
 
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "coordination/caller_port.h"
-#include "coordination/fetch_window.h"
-#include "coordination/retry_budget.h"
+#include "coordination/calls/caller_port.h"
+#include "coordination/calls/fetch_window.h"
+#include "coordination/calls/retry_budget.h"
 #include "state/clock.h"
 #include "state/document.h"
 #include "state/random.h"
--- a/src/coordination/delivery.c
+++ b/src/coordination/calls/delivery.c
@@ -1,6 +1,6 @@
-#include "coordination/delivery.h"
+#include "coordination/calls/delivery.h"
 
-#include "coordination/reply.h"
+#include "coordination/calls/reply.h"
 
 #define US_PER_MS 1000
 /* Time for which an answer is kept without a FETCH. */
--- a/src/coordination/delivery.h
+++ b/src/coordination/calls/delivery.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_DELIVERY_H
-#define GB_COORDINATION_DELIVERY_H
+#ifndef GB_COORDINATION_CALLS_DELIVERY_H
+#define GB_COORDINATION_CALLS_DELIVERY_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 
 /* Way of an agent's requests from the target back to the caller. */
 
--- a/src/coordination/fetch_window.c
+++ b/src/coordination/calls/fetch_window.c
@@ -1,4 +1,4 @@
-#include "coordination/fetch_window.h"
+#include "coordination/calls/fetch_window.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/coordination/handover.c
+++ b/src/coordination/calls/handover.c
@@ -1,9 +1,9 @@
-#include "coordination/handover.h"
+#include "coordination/calls/handover.h"
 
 #include <string.h>
 
-#include "coordination/admission.h"
-#include "coordination/membership.h"
+#include "coordination/calls/admission.h"
+#include "coordination/calls/membership.h"
 
 /* A round trip between two data centres of the franchise takes 3 ms. With
  * 2 ms no report from another data centre is in time. The wait costs little,
--- a/src/coordination/handover.h
+++ b/src/coordination/calls/handover.h
@@ -1,11 +1,11 @@
-#ifndef GB_COORDINATION_HANDOVER_H
-#define GB_COORDINATION_HANDOVER_H
+#ifndef GB_COORDINATION_CALLS_HANDOVER_H
+#define GB_COORDINATION_CALLS_HANDOVER_H
 
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "coordination/pool.h"
+#include "coordination/placement/pool.h"
 #include "state/message.h"
 
 #define GB_HANDOVER_WAITING_MAX 256
--- a/src/coordination/membership.c
+++ b/src/coordination/calls/membership.c
@@ -1,6 +1,6 @@
-#include "coordination/membership.h"
+#include "coordination/calls/membership.h"
 
-#include "coordination/admission.h"
+#include "coordination/calls/admission.h"
 
 #define US_PER_MS 1000
 
--- a/src/coordination/membership.h
+++ b/src/coordination/calls/membership.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_MEMBERSHIP_H
-#define GB_COORDINATION_MEMBERSHIP_H
+#ifndef GB_COORDINATION_CALLS_MEMBERSHIP_H
+#define GB_COORDINATION_CALLS_MEMBERSHIP_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 
 /* Messages between the agents of one pool. */
 
--- a/src/coordination/rate_limit.c
+++ b/src/coordination/calls/rate_limit.c
@@ -1,4 +1,4 @@
-#include "coordination/rate_limit.h"
+#include "coordination/calls/rate_limit.h"
 
 #include <glib.h>
 
--- a/src/coordination/rate_limit.h
+++ b/src/coordination/calls/rate_limit.h
@@ -1,5 +1,5 @@
-#ifndef GB_COORDINATION_RATE_LIMIT_H
-#define GB_COORDINATION_RATE_LIMIT_H
+#ifndef GB_COORDINATION_CALLS_RATE_LIMIT_H
+#define GB_COORDINATION_CALLS_RATE_LIMIT_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/coordination/reply.c
+++ b/src/coordination/calls/reply.c
@@ -1,4 +1,4 @@
-#include "coordination/reply.h"
+#include "coordination/calls/reply.h"
 
 #include <string.h>
 
--- a/src/coordination/reply.h
+++ b/src/coordination/calls/reply.h
@@ -1,7 +1,7 @@
-#ifndef GB_COORDINATION_REPLY_H
-#define GB_COORDINATION_REPLY_H
+#ifndef GB_COORDINATION_CALLS_REPLY_H
+#define GB_COORDINATION_CALLS_REPLY_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 
 /* Replies of an agent to callers. */
 
--- a/src/coordination/reservations.c
+++ b/src/coordination/calls/reservations.c
@@ -1,4 +1,4 @@
-#include "coordination/reservations.h"
+#include "coordination/calls/reservations.h"
 
 #include <string.h>
 
--- a/src/coordination/retry_budget.c
+++ b/src/coordination/calls/retry_budget.c
@@ -1,4 +1,4 @@
-#include "coordination/retry_budget.h"
+#include "coordination/calls/retry_budget.h"
 
 #define HUNDREDTHS 100
 #define START_RETRIES 3
--- a/src/coordination/slots.c
+++ b/src/coordination/calls/slots.c
@@ -1,4 +1,4 @@
-#include "coordination/slots.h"
+#include "coordination/calls/slots.h"
 
 #include <assert.h>
 #include <string.h>
--- a/src/coordination/slots.h
+++ b/src/coordination/calls/slots.h
@@ -1,5 +1,5 @@
-#ifndef GB_COORDINATION_SLOTS_H
-#define GB_COORDINATION_SLOTS_H
+#ifndef GB_COORDINATION_CALLS_SLOTS_H
+#define GB_COORDINATION_CALLS_SLOTS_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/coordination/target_state.c
+++ b/src/coordination/calls/target_state.c
@@ -1,4 +1,4 @@
-#include "coordination/target_state.h"
+#include "coordination/calls/target_state.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/coordination/acceptance.h
+++ b/src/coordination/documents/acceptance.h
@@ -1,5 +1,5 @@
-#ifndef GB_COORDINATION_ACCEPTANCE_H
-#define GB_COORDINATION_ACCEPTANCE_H
+#ifndef GB_COORDINATION_DOCUMENTS_ACCEPTANCE_H
+#define GB_COORDINATION_DOCUMENTS_ACCEPTANCE_H
 
 #include "coordination/status.h"
 #include "state/audit.h"
--- a/src/coordination/document_sync.c
+++ b/src/coordination/documents/document_sync.c
@@ -1,9 +1,9 @@
-#include "coordination/document_sync.h"
+#include "coordination/documents/document_sync.h"
 
 #include <glib.h>
 #include <string.h>
 
-#include "coordination/watch_plan.h"
+#include "coordination/documents/watch_plan.h"
 #include "state/timer_queue.h"
 
 #define US_PER_MS INT64_C(1000)
--- a/src/coordination/document_sync.h
+++ b/src/coordination/documents/document_sync.h
@@ -1,10 +1,10 @@
-#ifndef GB_COORDINATION_DOCUMENT_SYNC_H
-#define GB_COORDINATION_DOCUMENT_SYNC_H
+#ifndef GB_COORDINATION_DOCUMENTS_DOCUMENT_SYNC_H
+#define GB_COORDINATION_DOCUMENTS_DOCUMENT_SYNC_H
 
-#include "coordination/acceptance.h"
-#include "coordination/document_sync_port.h"
-#include "coordination/peer_choice.h"
-#include "coordination/sync_call.h"
+#include "coordination/documents/acceptance.h"
+#include "coordination/documents/document_sync_port.h"
+#include "coordination/documents/peer_choice.h"
+#include "coordination/documents/sync_call.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/random.h"
--- a/src/coordination/peer_choice.c
+++ b/src/coordination/documents/peer_choice.c
@@ -1,4 +1,4 @@
-#include "coordination/peer_choice.h"
+#include "coordination/documents/peer_choice.h"
 
 #include <glib.h>
 #include <stdlib.h>
--- a/src/coordination/sync_call.c
+++ b/src/coordination/documents/sync_call.c
@@ -1,4 +1,4 @@
-#include "coordination/sync_call.h"
+#include "coordination/documents/sync_call.h"
 
 uint32_t
 GbSyncCall_Start(struct GbSyncCall *self, uint32_t call_id, int64_t now_us,
--- a/src/coordination/watch_plan.c
+++ b/src/coordination/documents/watch_plan.c
@@ -1,4 +1,4 @@
-#include "coordination/watch_plan.h"
+#include "coordination/documents/watch_plan.h"
 
 #define US_PER_MS INT64_C(1000)
 #define US_PER_SECOND INT64_C(1000000)
--- a/src/coordination/watch_plan.h
+++ b/src/coordination/documents/watch_plan.h
@@ -1,10 +1,10 @@
-#ifndef GB_COORDINATION_WATCH_PLAN_H
-#define GB_COORDINATION_WATCH_PLAN_H
+#ifndef GB_COORDINATION_DOCUMENTS_WATCH_PLAN_H
+#define GB_COORDINATION_DOCUMENTS_WATCH_PLAN_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "coordination/sync_call.h"
+#include "coordination/documents/sync_call.h"
 #include "state/random.h"
 
 /* Time for which a watch waits at the platform. Two waiting watches make 0.1
--- a/src/coordination/flows/steering.h
+++ b/src/coordination/flows/steering.h
@@ -2,8 +2,8 @@
 #define GB_COORDINATION_FLOWS_STEERING_H
 
 #include "coordination/flows/packet_port.h"
-#include "coordination/placement.h"
-#include "coordination/suspicion.h"
+#include "coordination/placement/placement.h"
+#include "coordination/placement/suspicion.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/flow_cache.h"
--- a/src/coordination/placement.c
+++ b/src/coordination/placement/placement.c
@@ -1,4 +1,4 @@
-#include "coordination/placement.h"
+#include "coordination/placement/placement.h"
 
 #include <glib.h>
 #include <math.h>
--- a/src/coordination/pool.c
+++ b/src/coordination/placement/pool.c
@@ -1,4 +1,4 @@
-#include "coordination/pool.h"
+#include "coordination/placement/pool.h"
 
 #include <glib.h>
 #include <stdlib.h>
--- a/src/coordination/pool.h
+++ b/src/coordination/placement/pool.h
@@ -1,5 +1,5 @@
-#ifndef GB_COORDINATION_POOL_H
-#define GB_COORDINATION_POOL_H
+#ifndef GB_COORDINATION_PLACEMENT_POOL_H
+#define GB_COORDINATION_PLACEMENT_POOL_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/coordination/suspicion.c
+++ b/src/coordination/placement/suspicion.c
@@ -1,4 +1,4 @@
-#include "coordination/suspicion.h"
+#include "coordination/placement/suspicion.h"
 
 /* Fewer CALLs without an answer may be lost datagrams. */
 #define SILENT_CALLS_MIN 3
--- a/src/programs/command_load_report.h
+++ b/src/programs/command_load_report.h
@@ -3,7 +3,7 @@
 
 #include <stdio.h>
 
-#include "coordination/caller_port.h"
+#include "coordination/calls/caller_port.h"
 #include "state/document.h"
 #include "state/percentiles.h"
 
--- a/src/protocol/agent_wire.h
+++ b/src/protocol/agent_wire.h
@@ -1,7 +1,7 @@
 #ifndef GB_PROTOCOL_AGENT_WIRE_H
 #define GB_PROTOCOL_AGENT_WIRE_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 #include "protocol/datagram_port.h"
 #include "protocol/keys.h"
 #include "protocol/revision_listener.h"
--- a/src/protocol/balancer_wire.h
+++ b/src/protocol/balancer_wire.h
@@ -1,7 +1,7 @@
 #ifndef GB_PROTOCOL_BALANCER_WIRE_H
 #define GB_PROTOCOL_BALANCER_WIRE_H
 
-#include "coordination/balancer.h"
+#include "coordination/calls/balancer.h"
 #include "protocol/datagram_port.h"
 #include "protocol/keys.h"
 #include "protocol/revision_listener.h"
--- a/src/protocol/caller_wire.h
+++ b/src/protocol/caller_wire.h
@@ -1,7 +1,7 @@
 #ifndef GB_PROTOCOL_CALLER_WIRE_H
 #define GB_PROTOCOL_CALLER_WIRE_H
 
-#include "coordination/caller.h"
+#include "coordination/calls/caller.h"
 #include "protocol/datagram_port.h"
 
 #define GB_CALLER_BALANCERS_MAX 64
--- a/src/protocol/target_report.h
+++ b/src/protocol/target_report.h
@@ -4,7 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "coordination/target_state.h"
+#include "coordination/calls/target_state.h"
 
 /* Bodies of the target's health and load endpoints. */
 
--- a/src/transport/balancer_task.h
+++ b/src/transport/balancer_task.h
@@ -1,7 +1,7 @@
 #ifndef GB_TRANSPORT_BALANCER_TASK_H
 #define GB_TRANSPORT_BALANCER_TASK_H
 
-#include "coordination/balancer_port.h"
+#include "coordination/calls/balancer_port.h"
 #include "protocol/balancer_wire.h"
 #include "transport/data_task.h"
 
--- a/src/transport/control_sync.h
+++ b/src/transport/control_sync.h
@@ -1,7 +1,7 @@
 #ifndef GB_TRANSPORT_CONTROL_SYNC_H
 #define GB_TRANSPORT_CONTROL_SYNC_H
 
-#include "coordination/document_sync.h"
+#include "coordination/documents/document_sync.h"
 #include "transport/peer_client.h"
 #include "transport/peer_server.h"
 #include "transport/platform_client.h"
--- a/src/transport/mails.h
+++ b/src/transport/mails.h
@@ -1,7 +1,7 @@
 #ifndef GB_TRANSPORT_MAILS_H
 #define GB_TRANSPORT_MAILS_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 #include "state/counters.h"
 #include "state/view.h"
 #include "transport/task.h"
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -4,7 +4,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 #include "state/address.h"
 
 struct GbTargetEvents;
--- a/src/transport/target_poll.h
+++ b/src/transport/target_poll.h
@@ -5,7 +5,7 @@
 #include <event2/http.h>
 #include <stdint.h>
 
-#include "coordination/target_state.h"
+#include "coordination/calls/target_state.h"
 #include "state/address.h"
 #include "state/clock.h"
 #include "state/random.h"
--- a/tests/bench/bench_capacity_balancer.c
+++ b/tests/bench/bench_capacity_balancer.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 
 #include "bench/slope.h"
-#include "coordination/balancer.h"
+#include "coordination/calls/balancer.h"
 #include "protocol/document_json.h"
 #include "protocol/instances_json.h"
 #include "support/documents.h"
--- a/tests/support/agent_fixture.h
+++ b/tests/support/agent_fixture.h
@@ -1,7 +1,7 @@
 #ifndef GB_TESTS_SUPPORT_AGENT_FIXTURE_H
 #define GB_TESTS_SUPPORT_AGENT_FIXTURE_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 
 #define FIXTURE_SERVICE 7
 #define FIXTURE_EVENTS_MAX 2048
--- a/tests/support/agent_load.h
+++ b/tests/support/agent_load.h
@@ -1,7 +1,7 @@
 #ifndef GB_TESTS_SUPPORT_AGENT_LOAD_H
 #define GB_TESTS_SUPPORT_AGENT_LOAD_H
 
-#include "coordination/agent.h"
+#include "coordination/calls/agent.h"
 #include "state/clock.h"
 
 /* Agent of service 1 whose target answers at once and whose replies go
--- a/tests/support/policy_hosts.h
+++ b/tests/support/policy_hosts.h
@@ -1,9 +1,9 @@
 #ifndef GB_TESTS_SUPPORT_POLICY_HOSTS_H
 #define GB_TESTS_SUPPORT_POLICY_HOSTS_H
 
-#include "coordination/agent.h"
-#include "coordination/balancer.h"
-#include "coordination/caller.h"
+#include "coordination/calls/agent.h"
+#include "coordination/calls/balancer.h"
+#include "coordination/calls/caller.h"
 #include "support/event_queue.h"
 #include "support/policy_simulation.h"
 
--- a/tests/support/sim_platform.h
+++ b/tests/support/sim_platform.h
@@ -5,7 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "coordination/acceptance.h"
+#include "coordination/documents/acceptance.h"
 #include "state/view.h"
 
 /* Configuration service and instance list, as the platform has them. */
--- a/tests/support/sim_target.h
+++ b/tests/support/sim_target.h
@@ -1,8 +1,8 @@
 #ifndef GB_SUPPORT_SIM_TARGET_H
 #define GB_SUPPORT_SIM_TARGET_H
 
-#include "coordination/agent.h"
-#include "coordination/agent_port.h"
+#include "coordination/calls/agent.h"
+#include "coordination/calls/agent_port.h"
 #include "support/sim_events.h"
 #include "support/sim_network.h"
 
--- a/tests/support/sync_bench.h
+++ b/tests/support/sync_bench.h
@@ -1,7 +1,7 @@
 #ifndef GB_TESTS_SYNC_BENCH_H
 #define GB_TESTS_SYNC_BENCH_H
 
-#include "coordination/document_sync.h"
+#include "coordination/documents/document_sync.h"
 
 #define SYNC_PEERS_MAX 12
 #define SYNC_REPLIES_MAX 8
--- a/tests/test_acceptance.c
+++ b/tests/test_acceptance.c
@@ -1,4 +1,4 @@
-#include "coordination/acceptance.h"
+#include "coordination/documents/acceptance.h"
 
 #include <glib.h>
 
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -1,4 +1,4 @@
-#include "coordination/balancer.h"
+#include "coordination/calls/balancer.h"
 
 #include <glib.h>
 
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -1,7 +1,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "coordination/caller.h"
+#include "coordination/calls/caller.h"
 
 #define SEED 5
 #define FLOWS 2000
--- a/tests/test_document_processes.c
+++ b/tests/test_document_processes.c
@@ -79,17 +79,16 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
+/* Returns the standard output of the process. */
 static int
-spawn(struct Fleet *fleet, gchar **arguments, bool is_log_on_errors)
+spawn(struct Fleet *fleet, gchar **arguments)
 {
     GError *error = NULL;
     int out = -1;
 
-    g_spawn_async_with_pipes(NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-                             end_with_parent, NULL,
-                             &fleet->pids[fleet->count++], NULL,
-                             is_log_on_errors ? NULL : &out,
-                             is_log_on_errors ? &out : NULL, &error);
+    g_spawn_async_with_pipes(
+        NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD, end_with_parent,
+        NULL, &fleet->pids[fleet->count++], NULL, &out, NULL, &error);
     g_assert_no_error(error);
     return out;
 }
@@ -161,7 +160,7 @@
                           "--instances",    fleet->list,  NULL};
     char line[TEXT_BYTES];
 
-    read_line_with(spawn(fleet, arguments, false), "port=", line);
+    read_line_with(spawn(fleet, arguments), "port=", line);
     fleet->platform.ipv4 = INADDR_LOOPBACK;
     fleet->platform.port = (uint16_t)number_after(line, "port=");
 }
@@ -190,7 +189,7 @@
 
     g_snprintf(name, sizeof(name), "b%u", index);
     GbAddress_Format(&fleet->platform, platform);
-    read_line_with(spawn(fleet, arguments, true), "event=started", line);
+    read_line_with(spawn(fleet, arguments), "event=started", line);
     g_assert_cmpint(
         sscanf(strstr(line, "listen="), "listen=%23s", fleet->udp[index]), ==,
         1);
--- a/tests/test_fetch_window.c
+++ b/tests/test_fetch_window.c
@@ -1,4 +1,4 @@
-#include "coordination/fetch_window.h"
+#include "coordination/calls/fetch_window.h"
 
 #define MAX_BYTES 5000
 #define TOTAL_BYTES 3000
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -1,6 +1,6 @@
 #include <glib.h>
 
-#include "coordination/handover.h"
+#include "coordination/calls/handover.h"
 #include "support/agent_fixture.h"
 
 #define MEMBERS 3
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "coordination/caller.h"
+#include "coordination/calls/caller.h"
 
 #define SEED 7
 #define CALLS 2000
--- a/tests/test_silent_agent.c
+++ b/tests/test_silent_agent.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "coordination/caller.h"
+#include "coordination/calls/caller.h"
 
 #define DEADLINE_MS 1500
 #define CALL_PERIOD_US INT64_C(250000)
--- a/tests/test_slots.c
+++ b/tests/test_slots.c
@@ -1,6 +1,6 @@
 #include <glib.h>
 
-#include "coordination/slots.h"
+#include "coordination/calls/slots.h"
 #include "support/agent_fixture.h"
 
 #define RAMP_MS 4000
--- a/tests/test_suspicion.c
+++ b/tests/test_suspicion.c
@@ -1,4 +1,4 @@
-#include "coordination/suspicion.h"
+#include "coordination/placement/suspicion.h"
 
 #include <glib.h>
 
