Ask every agent of a service for a flow that is not known

Ruled out: the cache of the balancer (the restart empties it, as it may), the bound on hops (one hop). Change: a lookup asks all agents of the service, 256 at most; with more it is never certain that a flow is lost.

--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -8,6 +8,8 @@
 /* After this time an agent that restarted beside a live target has seen a
  * packet of each flow that is in use. */
 #define ADOPTION_US INT64_C(6000000)
+/* Agents that one lookup asks at most. */
+#define ASKED_MAX 256
 
 static bool
 is_sure(const struct GbFlowAgent *self, int64_t now_us)
@@ -45,7 +47,8 @@
 static void
 give_up(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
 {
-    bool is_certain = lookup->denied == lookup->asked;
+    bool is_certain =
+        lookup->denied == lookup->asked && lookup->asked < ASKED_MAX;
 
     GbCounters_Add(self->counters, GB_COUNTER_FLOWS_NOT_LOCATED, 1);
     if (is_certain && (lookup->packet.flags & GB_PACKET_RST) == 0) {
@@ -66,12 +69,39 @@
     give_up(self, lookup);
 }
 
+/* Asks every agent of the service, not only the neighbours that loads are
+ * exchanged with: the flow may have gone anywhere under an earlier list.
+ * Returns how many were asked. */
+static uint32_t
+ask_all(struct GbFlowAgent *self, const struct GbFlowKey *key)
+{
+    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_ASK, .key = *key};
+    uint32_t asked = 0;
+
+    notice.service_id = self->config.service_id;
+    for (uint32_t i = 0; self->view != NULL && i < self->view->list->count;
+         i++) {
+        const struct GbInstance *instance = &self->view->list->instances[i];
+
+        if (instance->service_id != self->config.service_id ||
+            instance->address.ipv4 == self->config.own_ipv4) {
+            continue;
+        }
+        if (asked == ASKED_MAX) {
+            GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_PARTIAL, 1);
+            break;
+        }
+        self->port->klass->notify(self->port, &notice, instance->address.ipv4);
+        asked++;
+    }
+    return asked;
+}
+
 void
 GbFlowLocation_Find(struct GbFlowAgent *self, struct GbPacket *packet,
                     uint32_t balancer_ipv4)
 {
     int64_t now_us = GbClock_MonotonicUs(self->clock);
-    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_ASK};
     struct GbFlowLookup *lookup;
 
     if (packet->hops >= GB_FLOW_HOPS_MAX ||
@@ -85,13 +115,7 @@
         return;
     }
     lookup->balancer_ipv4 = balancer_ipv4;
-    lookup->asked = self->pool.count;
-    notice.service_id = self->config.service_id;
-    notice.key = packet->key;
-    for (uint32_t i = 0; i < self->pool.count; i++) {
-        self->port->klass->notify(self->port, &notice,
-                                  self->pool.members[i].ipv4);
-    }
+    lookup->asked = ask_all(self, &packet->key);
     if (lookup->asked == 0) {
         end_lookup(self, lookup);
     }
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -178,6 +178,9 @@
     [GB_COUNTER_LOOKUPS_REFUSED] =
         {"lookups_refused_total",
          "Packets dropped because too many lookups were open."},
+    [GB_COUNTER_LOOKUPS_PARTIAL] =
+        {"lookups_partial_total",
+         "Lookups that did not ask all agents of the service."},
     [GB_COUNTER_NOTICES_RECEIVED] = {"notices_received_total",
                                      "Notices of other processes."},
 };
--- a/tests/test_flow_agent.c
+++ b/tests/test_flow_agent.c
@@ -7,6 +7,7 @@
 #define TARGET_SEQUENCE 5000
 #define OTHER_SEQUENCE 900000000
 #define OTHER_SERVICE 77
+#define LARGE_SERVICE 51
 
 static void
 open_flow(struct GbFlowAgentFixture *fixture, uint32_t client)
@@ -184,6 +185,30 @@
     }
 }
 
+/* Fault pattern: the instance list changes and a balancer restarts, so that an
+ * open flow of a large service reaches an agent far from its own. Guards
+ * against a lookup that asks only the neighbours. */
+static void
+test_list_changes_in_a_large_service(void)
+{
+    struct GbFlowAgentFixture fixture;
+    struct GbFlowNotice owner = make_notice(GB_FLOW_NOTICE_OWNER, 100);
+
+    GbFlowAgentFixture_Init(&fixture, LARGE_SERVICE);
+    GbFlowAgentFixture_FromTarget(&fixture, 100,
+                                  GB_PACKET_ACK | GB_PACKET_RETURNED, 1, 200);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_NOTIFY), ==,
+        LARGE_SERVICE - 1);
+    owner.owner_ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4 + LARGE_SERVICE / 2;
+    GbFlowAgent_Heard(&fixture.agent, owner.owner_ipv4, &owner);
+    g_assert_cmpuint(
+        GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_FORWARD)
+            ->to_ipv4,
+        ==, owner.owner_ipv4);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
 /* Fault pattern: members of the pool are cut off. Guards against a reset of a
  * flow that may be open at one of them. */
 static void
@@ -422,6 +447,8 @@
                     test_handed_over_flow_stays_together);
     g_test_add_func("/flow-agent/balancer-joins-and-flows-move",
                     test_balancer_joins_and_flows_move);
+    g_test_add_func("/flow-agent/list-changes-in-a-large-service",
+                    test_list_changes_in_a_large_service);
     g_test_add_func("/flow-agent/lookup-without-all-answers",
                     test_lookup_without_all_answers);
     g_test_add_func("/flow-agent/agent-restarts-beside-live-target",
