--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -108,9 +108,7 @@
 refuse(struct GbFlowAgent *self, const struct GbFlowOpening *opening,
        int64_t now_us)
 {
-    GbFlowAgent_Record(self, GB_FLOW_DECISION_REFUSED, &opening->packet.key,
-                       self->config.own_ipv4, self->in_flight,
-                       GbFlowLoad_Slots(self));
+    GbFlowAgent_RecordOpening(self, GB_FLOW_DECISION_REFUSED, opening, now_us);
     GbRecentRefusals_Add(&self->refusals, &opening->packet.key,
                          opening->first_sent_us, now_us);
     GbFlowAgent_Reset(self, &opening->packet);
@@ -178,9 +176,7 @@
         return;
     }
     GbCounters_Add(self->counters, GB_COUNTER_OPENINGS_HELD, 1);
-    GbFlowAgent_Record(self, GB_FLOW_DECISION_HELD, &opening->packet.key,
-                       self->config.own_ipv4, self->in_flight,
-                       GbFlowLoad_Slots(self));
+    GbFlowAgent_RecordOpening(self, GB_FLOW_DECISION_HELD, opening, now_us);
 }
 
 /* Gives the packet to the best target that has room. Returns false if none
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -171,19 +171,43 @@
     return flow;
 }
 
+static void
+record(struct GbFlowAgent *self, struct GbFlowDecision *decision)
+{
+    decision->waiting = self->waiting.count;
+    decision->routes_version =
+        self->view != NULL ? self->view->routes->version : 0;
+    self->port->klass->decided(self->port, decision);
+}
+
 void
 GbFlowAgent_Record(struct GbFlowAgent *self, enum GbFlowDecisionKind kind,
                    const struct GbFlowKey *key, uint32_t agent_ipv4,
                    uint32_t in_flight, uint32_t slots)
 {
-    struct GbFlowDecision decision = {.kind = kind, .key = *key};
+    struct GbFlowDecision decision = {.kind = kind,
+                                      .key = *key,
+                                      .agent_ipv4 = agent_ipv4,
+                                      .in_flight = in_flight,
+                                      .slots = slots};
 
-    decision.agent_ipv4 = agent_ipv4;
-    decision.in_flight = in_flight;
-    decision.slots = slots;
-    decision.routes_version =
-        self->view != NULL ? self->view->routes->version : 0;
-    self->port->klass->decided(self->port, &decision);
+    record(self, &decision);
+}
+
+void
+GbFlowAgent_RecordOpening(struct GbFlowAgent *self,
+                          enum GbFlowDecisionKind kind,
+                          const struct GbFlowOpening *opening, int64_t now_us)
+{
+    struct GbFlowDecision decision = {.kind = kind,
+                                      .key = opening->packet.key,
+                                      .agent_ipv4 = self->config.own_ipv4,
+                                      .in_flight = self->in_flight,
+                                      .slots = GbFlowLoad_Slots(self)};
+
+    decision.age_ms =
+        (uint32_t)((now_us - opening->first_sent_us) / US_PER_MS);
+    record(self, &decision);
 }
 
 void
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -69,6 +69,13 @@
                         const struct GbFlowKey *key, uint32_t agent_ipv4,
                         uint32_t in_flight, uint32_t slots);
 
+/* As GbFlowAgent_Record, about the own target and with the age of an
+ * opening. */
+void GbFlowAgent_RecordOpening(struct GbFlowAgent *self,
+                               enum GbFlowDecisionKind kind,
+                               const struct GbFlowOpening *opening,
+                               int64_t now_us);
+
 /* Resets the client of a packet's flow. */
 void GbFlowAgent_Reset(struct GbFlowAgent *self,
                        const struct GbPacket *packet);
--- a/src/coordination/flows/flow_decision.h
+++ b/src/coordination/flows/flow_decision.h
@@ -40,6 +40,10 @@
     /* Flows in flight at that agent, and its slots, as known here. */
     uint32_t in_flight;
     uint32_t slots;
+    /* Openings that waited there. */
+    uint32_t waiting;
+    /* Time since the client first asked; 0 if it is not known. */
+    uint32_t age_ms;
     /* Version of the routes that were in force. */
     uint64_t routes_version;
 };
--- a/src/programs/command.h
+++ b/src/programs/command.h
@@ -20,6 +20,7 @@
 int GbCommand_Load(int argc, char **argv);
 int GbCommand_Check(int argc, char **argv);
 int GbCommand_Diff(int argc, char **argv);
+int GbCommand_Explain(int argc, char **argv);
 int GbCommand_Promote(int argc, char **argv);
 int GbCommand_Status(int argc, char **argv);
 
--- a/src/programs/guavabend_main.c
+++ b/src/programs/guavabend_main.c
@@ -17,6 +17,8 @@
      GbCommand_Load},
     {"check", "Check a document and report all errors.", GbCommand_Check},
     {"diff", "Show what differs between two documents.", GbCommand_Diff},
+    {"explain", "Read logs from standard input and show the story of a flow.",
+     GbCommand_Explain},
     {"promote", "Check that a document proven in trial may go to production.",
      GbCommand_Promote},
     {"status", "Show which document balancers and agents act on.",
--- a/src/transport/flow_log.c
+++ b/src/transport/flow_log.c
@@ -58,8 +58,9 @@
     self->written[decision->kind]++;
     GbLog_Event(GB_LOG_INFO, GbFlowDecision_Name(decision->kind),
                 "flow=%s agent=%s in_flight=%" PRIu32 " slots=%" PRIu32
-                " routes=%" PRIu64,
+                " waiting=%" PRIu32 " age_ms=%" PRIu32 " routes=%" PRIu64,
                 GbFlowKey_Format(&decision->key, key_text),
                 GbAddress_Format(&agent, agent_text), decision->in_flight,
-                decision->slots, decision->routes_version);
+                decision->slots, decision->waiting, decision->age_ms,
+                decision->routes_version);
 }
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -12,6 +12,7 @@
 
 #define LINE_BYTES 1024
 #define TIME_BYTES 32
+#define INSTANCE_BYTES 64
 #define US_PER_MS 1000
 
 static const int priorities[] = {
@@ -24,21 +25,24 @@
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
 
 static log4c_category_t *category;
+static char instance_name[INSTANCE_BYTES];
 
 static const char *
 format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
-    static _Thread_local char line[LINE_BYTES + 2 * TIME_BYTES];
+    static _Thread_local char
+        line[LINE_BYTES + 2 * TIME_BYTES + INSTANCE_BYTES];
     char time_text[TIME_BYTES];
     struct tm utc;
 
     (void)layout;
     gmtime_r(&event->evt_timestamp.tv_sec, &utc);
     strftime(time_text, sizeof(time_text), "%Y-%m-%dT%H:%M:%S", &utc);
-    snprintf(line, sizeof(line), "time=%s.%03dZ level=%s program=%s %s\n",
+    snprintf(line, sizeof(line), "time=%s.%03dZ level=%s program=%s%s%s %s\n",
              time_text, (int)(event->evt_timestamp.tv_usec / US_PER_MS),
              log4c_priority_to_string(event->evt_priority),
-             event->evt_category, event->evt_msg);
+             event->evt_category, instance_name[0] != '\0' ? " instance=" : "",
+             instance_name, event->evt_msg);
     return line;
 }
 
@@ -123,6 +127,12 @@
     return false;
 }
 
+void
+GbLog_SetInstance(const char *instance)
+{
+    snprintf(instance_name, sizeof(instance_name), "%s", instance);
+}
+
 void
 GbLog_Finish(void)
 {
--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -10,6 +10,10 @@
  * level is "debug", "info", "warn" or "error"; returns false on any other. */
 bool GbLog_Init(const char *program, const char *level);
 
+/* Names the instance on each line from now on. Not called while other tasks
+ * log. */
+void GbLog_SetInstance(const char *instance);
+
 void GbLog_Finish(void);
 
 /* Writes one line: time, level, program, event=EVENT and the formatted
