--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -109,6 +109,8 @@
        int64_t now_us)
 {
     GbFlowAgent_RecordOpening(self, GB_FLOW_DECISION_REFUSED, opening, now_us);
+    GbHistogram_Add(&self->times.values[GB_FLOW_TIME_REFUSED],
+                    now_us - opening->held_us);
     GbRecentRefusals_Add(&self->refusals, &opening->packet.key,
                          opening->first_sent_us, now_us);
     GbFlowAgent_Reset(self, &opening->packet);
@@ -139,6 +141,7 @@
                            : NULL;
 
     opening->packet = *packet;
+    opening->held_us = now_us;
     opening->balancer_ipv4 = balancer_ipv4;
     opening->priority = 0;
     opening->first_sent_us =
@@ -294,6 +297,8 @@
     while ((opening = GbFlowWaiting_Best(&self->waiting, self->service_us,
                                          now_us)) != NULL &&
            place(self, opening, true, now_us)) {
+        GbHistogram_Add(&self->times.values[GB_FLOW_TIME_WAITING],
+                        now_us - opening->held_us);
         GbFlowWaiting_Remove(&self->waiting, opening);
     }
 }
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -59,6 +59,8 @@
             packet->acknowledgement - flow->target_sequence > FIRST_ACK_MAX) {
             return false;
         }
+        GbHistogram_Add(&self->times.values[GB_FLOW_TIME_OPENING],
+                        now_us - flow->opened_us);
         flow->state = GB_PACKET_FLOW_OPEN;
         flow->requested_us = now_us;
     }
@@ -305,6 +307,18 @@
     }
 }
 
+static void
+end_flow(struct GbFlowAgent *self, struct GbPacketFlow *flow, int64_t now_us)
+{
+    if (!flow->is_ended) {
+        flow->is_ended = true;
+        GbHistogram_Add(&self->times.values[GB_FLOW_TIME_END],
+                        now_us - flow->opened_us);
+    }
+    flow->is_closing = true;
+    GbFlowLoad_End(self, flow);
+}
+
 void
 GbFlowAgent_FromTarget(struct GbFlowAgent *self, struct GbPacket *packet)
 {
@@ -332,8 +346,7 @@
             GbFlowLoad_Answered(self, flow, now_us);
         }
         if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
-            flow->is_closing = true;
-            GbFlowLoad_End(self, flow);
+            end_flow(self, flow, now_us);
         }
     }
     GbCounters_Add(self->counters, GB_COUNTER_PACKETS_REPLIED, 1);
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -9,6 +9,7 @@
 #include "coordination/flows/recent_refusals.h"
 #include "state/clock.h"
 #include "state/counters.h"
+#include "state/flow_times.h"
 #include "state/packet_flow_table.h"
 #include "state/packet_view.h"
 
@@ -48,6 +49,7 @@
     struct GbFlowTarget target;
     struct GbFlowWaiting waiting;
     struct GbRecentRefusals refusals;
+    struct GbFlowTimes times;
     /* Time from opening to the first byte of the answer, smoothed. */
     int64_t service_us;
     struct GbFlowBalancer balancers[GB_FLOW_BALANCERS_MAX];
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -87,6 +87,7 @@
     GbFlowLoad_End(self, flow);
     if (!flow->is_answered) {
         flow->is_answered = true;
+        GbHistogram_Add(&self->times.values[GB_FLOW_TIME_ANSWER], taken_us);
         taken_us = CLAMP(taken_us, SERVICE_MIN_US, SERVICE_MAX_US);
         self->service_us += (taken_us - self->service_us) / SERVICE_DIVISOR;
     }
--- a/src/coordination/flows/flow_waiting.h
+++ b/src/coordination/flows/flow_waiting.h
@@ -14,6 +14,8 @@
     uint32_t balancer_ipv4;
     /* 0 is the highest. */
     uint32_t priority;
+    /* When it began to wait here. */
+    int64_t held_us;
     /* When the client first asked. */
     int64_t first_sent_us;
     /* An answer after this time is late. */
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -28,6 +28,8 @@
     bool is_answered;
     bool has_target_sequence;
     bool is_closing;
+    /* The target has ended it. */
+    bool is_ended;
     uint32_t target_sequence;
     /* Of the last data that the client sent. */
     uint32_t request_sequence;
--- a/src/transport/flow_agent_task.c
+++ b/src/transport/flow_agent_task.c
@@ -72,6 +72,12 @@
     GbFlowAgent_SetView(&((struct GbFlowAgentTask *)task)->agent, view);
 }
 
+static const struct GbFlowTimes *
+task_times(struct GbPacketTask *task)
+{
+    return &((struct GbFlowAgentTask *)task)->agent.times;
+}
+
 static enum GbTransportStatus
 task_open(struct GbTask *task, struct GbLastMessage *last)
 {
@@ -146,6 +152,7 @@
     .received = task_received,
     .heard = task_heard,
     .set_view = task_set_view,
+    .times = task_times,
 };
 
 void
--- a/src/transport/packet_mails.c
+++ b/src/transport/packet_mails.c
@@ -65,12 +65,16 @@
 }
 
 struct GbMail *
-GbPacketReportMail_New(const struct GbCounters *counters, int64_t quiet_us)
+GbPacketReportMail_New(const struct GbCounters *counters,
+                       const struct GbFlowTimes *times, int64_t quiet_us)
 {
     struct GbPacketReportMail *mail = g_new0(struct GbPacketReportMail, 1);
 
     mail->super.klass = &GbPacketReportMail_Class;
     mail->counters = *counters;
+    if (times != NULL) {
+        mail->times = *times;
+    }
     mail->quiet_us = quiet_us;
     return &mail->super;
 }
--- a/src/transport/packet_mails.h
+++ b/src/transport/packet_mails.h
@@ -2,6 +2,7 @@
 #define GB_TRANSPORT_PACKET_MAILS_H
 
 #include "state/counters.h"
+#include "state/flow_times.h"
 #include "state/packet_view.h"
 #include "state/view_version.h"
 #include "transport/task.h"
@@ -39,6 +40,8 @@
 struct GbPacketReportMail {
     struct GbMail super;
     struct GbCounters counters;
+    /* Agents only. */
+    struct GbFlowTimes times;
     /* Time since the last packet of a client. */
     int64_t quiet_us;
 };
@@ -58,7 +61,9 @@
 struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4,
                                        const struct GbViewVersion *version,
                                        uint32_t age_ms);
+/* times is NULL for a balancer. */
 struct GbMail *GbPacketReportMail_New(const struct GbCounters *counters,
+                                      const struct GbFlowTimes *times,
                                       int64_t quiet_us);
 
 #endif
--- a/src/transport/packet_task.c
+++ b/src/transport/packet_task.c
@@ -153,9 +153,10 @@
         return;
     }
     self->report_us = now_us + REPORT_PERIOD_US;
-    GbTask_Offer(
-        self->config.control,
-        GbPacketReportMail_New(&self->counters, now_us - self->packet_us));
+    GbTask_Offer(self->config.control,
+                 GbPacketReportMail_New(&self->counters,
+                                        class_of(self)->times(self),
+                                        now_us - self->packet_us));
 }
 
 void
--- a/src/transport/packet_task.h
+++ b/src/transport/packet_task.h
@@ -4,6 +4,7 @@
 #include "coordination/flows/packet_port.h"
 #include "protocol/packet_codec.h"
 #include "state/counters.h"
+#include "state/flow_times.h"
 #include "state/packet_view.h"
 #include "transport/flow_log.h"
 #include "transport/task.h"
@@ -20,6 +21,8 @@
     void (*heard)(struct GbPacketTask *self, const struct GbAddress *from,
                   const struct GbFlowNotice *notice);
     void (*set_view)(struct GbPacketTask *self, struct GbPacketView *view);
+    /* Durations for metrics; NULL if there are none. */
+    const struct GbFlowTimes *(*times)(struct GbPacketTask *self);
 };
 
 struct GbPacketTaskConfig {
--- a/src/transport/steering_task.c
+++ b/src/transport/steering_task.c
@@ -41,6 +41,13 @@
     GbSteering_SetView(&((struct GbSteeringTask *)task)->steering, view);
 }
 
+static const struct GbFlowTimes *
+task_times(struct GbPacketTask *task)
+{
+    (void)task;
+    return NULL;
+}
+
 static void
 task_receive(struct GbTask *task, struct GbMail *mail)
 {
@@ -72,6 +79,7 @@
     .received = task_received,
     .heard = task_heard,
     .set_view = task_set_view,
+    .times = task_times,
 };
 
 void
--- /dev/null
+++ b/tests/test_histogram.c
@@ -0,0 +1,72 @@
+#include <glib.h>
+#include <string.h>
+
+#include "protocol/exposition.h"
+
+#define MS 1000
+
+struct BucketCase {
+    const char *name;
+    int64_t duration_us;
+    /* Bound of the bucket in ms; 0 for none. */
+    uint32_t bound_ms;
+};
+
+static const struct BucketCase bucket_cases[] = {
+    {"nothing", 0, 1},
+    {"below zero", -5, 1},
+    {"on a bound", 20 * MS, 20},
+    {"just above a bound", 20 * MS + 1, 50},
+    {"last bound", 5000 * MS, 5000},
+    {"above the last bound", 5000 * MS + 1, 0},
+};
+
+/* Guards against durations that are counted in the wrong bucket or lost. */
+static void
+test_buckets(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(bucket_cases); i++) {
+        const struct BucketCase *row = &bucket_cases[i];
+        struct GbHistogram histogram = {.count = 0};
+
+        g_test_message("%s", row->name);
+        GbHistogram_Add(&histogram, row->duration_us);
+        g_assert_cmpuint(histogram.count, ==, 1);
+        for (uint32_t at = 0; at < GB_HISTOGRAM_BUCKETS; at++) {
+            g_assert_cmpuint(histogram.buckets[at], ==,
+                             GbHistogram_BoundMs(at) == row->bound_ms);
+        }
+    }
+}
+
+/* Guards against buckets that do not add up in the exposition. */
+static void
+test_exposition(void)
+{
+    GString *text = g_string_new(NULL);
+    struct GbFlowTimes times;
+
+    memset(&times, 0, sizeof(times));
+    GbHistogram_Add(&times.values[GB_FLOW_TIME_ANSWER], 15 * MS);
+    GbHistogram_Add(&times.values[GB_FLOW_TIME_ANSWER], 35 * MS);
+    GbHistogram_Add(&times.values[GB_FLOW_TIME_ANSWER], 9000 * MS);
+    GbExposition_FlowTimes(text, &times);
+    g_assert_nonnull(strstr(
+        text->str, "guavabend_flow_answer_seconds_bucket{le=\"0.02\"} 1\n"));
+    g_assert_nonnull(strstr(
+        text->str, "guavabend_flow_answer_seconds_bucket{le=\"5\"} 2\n"));
+    g_assert_nonnull(strstr(
+        text->str, "guavabend_flow_answer_seconds_bucket{le=\"+Inf\"} 3\n"));
+    g_assert_nonnull(
+        strstr(text->str, "guavabend_flow_answer_seconds_count 3\n"));
+    g_string_free(text, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/histogram/buckets", test_buckets);
+    g_test_add_func("/histogram/exposition", test_exposition);
+    return g_test_run();
+}
--- a/tests/test_operations_page.c
+++ b/tests/test_operations_page.c
@@ -1,9 +1,11 @@
 #include <glib.h>
 #include <string.h>
 
+#include "coordination/flows/flow_decision.h"
 #include "state/counters.h"
+#include "state/flow_times.h"
 
-#define PAGE GB_TEST_DATA "/../docs/operations.md"
+#define PAGE GB_TEST_DATA "/../docs/OPERATIONS.md"
 #define FLAG_PREFIX "  --"
 
 /* Programs and commands whose help lists settings. */
@@ -14,6 +16,7 @@
     {GB_BUILD_DIR "/guavabend", "load", "--help"},
     {GB_BUILD_DIR "/guavabend", "check", "--help"},
     {GB_BUILD_DIR "/guavabend", "diff", "--help"},
+    {GB_BUILD_DIR "/guavabend", "explain", "--help"},
     {GB_BUILD_DIR "/guavabend", "promote", "--help"},
     {GB_BUILD_DIR "/guavabend", "status", "--help"},
     {GB_BUILD_DIR "/guavabend", "audit", "--help"},
@@ -27,7 +30,7 @@
     gchar *quoted = g_strdup_printf("`%s`", name);
 
     if (strstr(page, quoted) == NULL) {
-        g_error("docs/operations.md does not name %s", quoted);
+        g_error("docs/OPERATIONS.md does not name %s", quoted);
     }
     g_free(quoted);
 }
@@ -70,6 +73,18 @@
     }
 }
 
+/* Guards against log lines and durations that operators cannot look up. */
+static void
+test_decisions_and_times(void)
+{
+    for (int i = 0; i < GB_FLOW_DECISION_KIND_END; i++) {
+        assert_on_page(GbFlowDecision_Name((enum GbFlowDecisionKind)i));
+    }
+    for (int i = 0; i < GB_FLOW_TIME_ID_END; i++) {
+        assert_on_page(GbFlowTimes_Name((enum GbFlowTimeId)i));
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -79,6 +94,8 @@
     g_assert_true(g_file_get_contents(PAGE, &page, NULL, NULL));
     g_test_add_func("/operations-page/settings", test_settings);
     g_test_add_func("/operations-page/counters", test_counters);
+    g_test_add_func("/operations-page/decisions-and-times",
+                    test_decisions_and_times);
     result = g_test_run();
     g_free(page);
     return result;
