Measure the packet path beside the bare relay, and merge what stood twice

make bench gains a row for a balancer's packet task, the decisions of an agent, memory of flows and size of news; the relay is shared with bench_forward. Loads are coded in one place, the two mails with a peer's version are one type, and a decision kind and a function that nothing used are gone.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 # Without the cache of each thread, glibc counts freed memory as free.
 bench: build
 	$(BUILD)/bench_forward
+	$(BUILD)/bench_packet
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
 
--- a/src/coordination/flows/flow_decision.c
+++ b/src/coordination/flows/flow_decision.c
@@ -13,7 +13,6 @@
     [GB_FLOW_DECISION_ADOPTED] = "adopted",
     [GB_FLOW_DECISION_NO_ROUTE] = "no_route",
     [GB_FLOW_DECISION_STEERED] = "steered",
-    [GB_FLOW_DECISION_DROPPED] = "dropped",
 };
 
 const char *
--- a/src/coordination/flows/flow_decision.h
+++ b/src/coordination/flows/flow_decision.h
@@ -26,8 +26,6 @@
     GB_FLOW_DECISION_NO_ROUTE,
     /* The first packet of the flow at this balancer. */
     GB_FLOW_DECISION_STEERED,
-    /* A packet was dropped; the reason is in the counters. */
-    GB_FLOW_DECISION_DROPPED,
     GB_FLOW_DECISION_KIND_END
 };
 
--- a/src/coordination/flows/flow_target.c
+++ b/src/coordination/flows/flow_target.c
@@ -52,9 +52,3 @@
     return now_us >= self->suspect_until_us &&
            now_us >= self->refusing_until_us;
 }
-
-bool
-GbFlowTarget_IsSilent(const struct GbFlowTarget *self, int64_t now_us)
-{
-    return now_us < self->suspect_until_us;
-}
--- a/src/coordination/flows/flow_target.h
+++ b/src/coordination/flows/flow_target.h
@@ -30,7 +30,4 @@
 /* Whether the target is likely to take a new flow. */
 bool GbFlowTarget_IsUsable(const struct GbFlowTarget *self, int64_t now_us);
 
-/* Whether the target is silent, as opposed to refusing. */
-bool GbFlowTarget_IsSilent(const struct GbFlowTarget *self, int64_t now_us);
-
 #endif
--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "protocol/load_items.h"
 #include "protocol/reader.h"
 #include "protocol/writer.h"
 
@@ -134,24 +135,6 @@
         (enum GbUnknownReason)take_enum(reader, GB_UNKNOWN_REASON_END);
 }
 
-static void
-put_load(struct GbWriter *writer, const struct GbLoad *load)
-{
-    GbWriter_PutUint(writer, load->running);
-    GbWriter_PutUint(writer, load->queued);
-    GbWriter_PutUint(writer, load->capacity);
-    GbWriter_PutUint(writer, load->is_draining);
-}
-
-static void
-take_load(struct GbReader *reader, struct GbLoad *load)
-{
-    load->running = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
-    load->queued = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
-    load->capacity = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
-    load->is_draining = GbReader_Uint(reader, 1) != 0;
-}
-
 static void
 put_revision(struct GbWriter *writer, const struct GbRevision *revision)
 {
@@ -171,7 +154,7 @@
 {
     GbWriter_PutUint(writer, message->alive.instance_id);
     GbWriter_PutUint(writer, message->alive.incarnation);
-    put_load(writer, &message->alive.load);
+    GbLoadItems_Put(writer, &message->alive.load);
     put_revision(writer, &message->alive.revision);
 }
 
@@ -180,7 +163,7 @@
 {
     message->alive.instance_id = GbReader_Uint(reader, UINT64_MAX);
     message->alive.incarnation = GbReader_Uint(reader, UINT64_MAX);
-    take_load(reader, &message->alive.load);
+    GbLoadItems_Read(reader, &message->alive.load);
     take_revision(reader, &message->alive.revision);
 }
 
@@ -189,7 +172,7 @@
 {
     GbWriter_PutUint(writer, message->load.ask_id);
     GbWriter_PutUint(writer, message->load.instance_id);
-    put_load(writer, &message->load.load);
+    GbLoadItems_Put(writer, &message->load.load);
 }
 
 static void
@@ -197,7 +180,7 @@
 {
     message->load.ask_id = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
     message->load.instance_id = GbReader_Uint(reader, UINT64_MAX);
-    take_load(reader, &message->load.load);
+    GbLoadItems_Read(reader, &message->load.load);
 }
 
 static void
--- a/src/protocol/flow_notice_codec.c
+++ b/src/protocol/flow_notice_codec.c
@@ -2,13 +2,11 @@
 
 #include <string.h>
 
-#include "protocol/reader.h"
-#include "protocol/writer.h"
+#include "protocol/load_items.h"
 
 /* Kind and service come before the fields of a kind. */
 #define HEAD_ITEMS 2
 #define KEY_ITEMS 4
-#define LOAD_ITEMS 4
 
 static void
 put_key(struct GbWriter *writer, const struct GbFlowKey *key)
@@ -28,30 +26,12 @@
     key->service_port = (uint16_t)GbReader_Uint(reader, UINT16_MAX);
 }
 
-static void
-put_load(struct GbWriter *writer, const struct GbLoad *load)
-{
-    GbWriter_PutUint(writer, load->running);
-    GbWriter_PutUint(writer, load->queued);
-    GbWriter_PutUint(writer, load->capacity);
-    GbWriter_PutUint(writer, load->is_draining);
-}
-
-static void
-read_load(struct GbReader *reader, struct GbLoad *load)
-{
-    load->running = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
-    load->queued = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
-    load->capacity = (uint32_t)GbReader_Uint(reader, UINT32_MAX);
-    load->is_draining = GbReader_Uint(reader, 1) == 1;
-}
-
 static uint32_t
 item_count(enum GbFlowNoticeKind kind)
 {
     switch (kind) {
     case GB_FLOW_NOTICE_LOAD:
-        return HEAD_ITEMS + LOAD_ITEMS;
+        return HEAD_ITEMS + GB_LOAD_ITEMS;
     case GB_FLOW_NOTICE_OWNER:
         return HEAD_ITEMS + KEY_ITEMS + 1;
     case GB_FLOW_NOTICE_REVISION:
@@ -73,7 +53,7 @@
     GbWriter_PutUint(&writer, notice->service_id);
     switch (notice->kind) {
     case GB_FLOW_NOTICE_LOAD:
-        put_load(&writer, &notice->load);
+        GbLoadItems_Put(&writer, &notice->load);
         break;
     case GB_FLOW_NOTICE_REVISION:
         GbWriter_PutUint(&writer, notice->version.revision);
@@ -104,7 +84,7 @@
     notice->service_id = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
     switch (notice->kind) {
     case GB_FLOW_NOTICE_LOAD:
-        read_load(&reader, &notice->load);
+        GbLoadItems_Read(&reader, &notice->load);
         break;
     case GB_FLOW_NOTICE_REVISION:
         notice->version.revision = GbReader_Uint(&reader, UINT64_MAX);
--- a/src/transport/packet_mails.c
+++ b/src/transport/packet_mails.c
@@ -15,8 +15,8 @@
 
 const struct GbMailClass GbPacketViewMail_Class = {.free = free_view};
 const struct GbMailClass GbConfirmMail_Class = {.free = free_plain};
-const struct GbMailClass GbRevisionNoticeMail_Class = {.free = free_plain};
-const struct GbMailClass GbRevisionHeardMail_Class = {.free = free_plain};
+const struct GbMailClass GbPeerVersionMail_NoticeClass = {.free = free_plain};
+const struct GbMailClass GbPeerVersionMail_HeardClass = {.free = free_plain};
 const struct GbMailClass GbPacketReportMail_Class = {.free = free_plain};
 
 struct GbMail *
@@ -39,25 +39,12 @@
 }
 
 struct GbMail *
-GbRevisionNoticeMail_New(uint32_t peer_ipv4,
-                         const struct GbViewVersion *version, uint32_t age_ms)
+GbPeerVersionMail_New(const struct GbMailClass *klass, uint32_t peer_ipv4,
+                      const struct GbViewVersion *version, uint32_t age_ms)
 {
-    struct GbRevisionNoticeMail *mail = g_new0(struct GbRevisionNoticeMail, 1);
+    struct GbPeerVersionMail *mail = g_new0(struct GbPeerVersionMail, 1);
 
-    mail->super.klass = &GbRevisionNoticeMail_Class;
-    mail->peer_ipv4 = peer_ipv4;
-    mail->version = *version;
-    mail->age_ms = age_ms;
-    return &mail->super;
-}
-
-struct GbMail *
-GbRevisionHeardMail_New(uint32_t peer_ipv4,
-                        const struct GbViewVersion *version, uint32_t age_ms)
-{
-    struct GbRevisionHeardMail *mail = g_new0(struct GbRevisionHeardMail, 1);
-
-    mail->super.klass = &GbRevisionHeardMail_Class;
+    mail->super.klass = klass;
     mail->peer_ipv4 = peer_ipv4;
     mail->version = *version;
     mail->age_ms = age_ms;
--- a/src/transport/packet_mails.h
+++ b/src/transport/packet_mails.h
@@ -20,16 +20,10 @@
     struct GbMail super;
 };
 
-/* From control to the packet task: tell another process of a revision. */
-struct GbRevisionNoticeMail {
-    struct GbMail super;
-    uint32_t peer_ipv4;
-    struct GbViewVersion version;
-    uint32_t age_ms;
-};
-
-/* From the packet task to control: another process has this revision. */
-struct GbRevisionHeardMail {
+/* What another process knows. From control to the packet task, of the class
+ * notice: tell it what this one knows. Back, of the class heard: the other has
+ * told. */
+struct GbPeerVersionMail {
     struct GbMail super;
     uint32_t peer_ipv4;
     struct GbViewVersion version;
@@ -48,19 +42,17 @@
 
 extern const struct GbMailClass GbPacketViewMail_Class;
 extern const struct GbMailClass GbConfirmMail_Class;
-extern const struct GbMailClass GbRevisionNoticeMail_Class;
-extern const struct GbMailClass GbRevisionHeardMail_Class;
+extern const struct GbMailClass GbPeerVersionMail_NoticeClass;
+extern const struct GbMailClass GbPeerVersionMail_HeardClass;
 extern const struct GbMailClass GbPacketReportMail_Class;
 
 /* Takes its own reference of view. */
 struct GbMail *GbPacketViewMail_New(struct GbPacketView *view);
 struct GbMail *GbConfirmMail_New(void);
-struct GbMail *GbRevisionNoticeMail_New(uint32_t peer_ipv4,
-                                        const struct GbViewVersion *version,
-                                        uint32_t age_ms);
-struct GbMail *GbRevisionHeardMail_New(uint32_t peer_ipv4,
-                                       const struct GbViewVersion *version,
-                                       uint32_t age_ms);
+struct GbMail *GbPeerVersionMail_New(const struct GbMailClass *klass,
+                                     uint32_t peer_ipv4,
+                                     const struct GbViewVersion *version,
+                                     uint32_t age_ms);
 /* times is NULL for a balancer. */
 struct GbMail *GbPacketReportMail_New(const struct GbCounters *counters,
                                       const struct GbFlowTimes *times,
--- a/src/transport/packet_task.c
+++ b/src/transport/packet_task.c
@@ -60,16 +60,16 @@
     }
     if (notice.kind == GB_FLOW_NOTICE_REVISION) {
         GbTask_Offer(self->config.control,
-                     GbRevisionHeardMail_New(from->ipv4, &notice.version,
-                                             notice.age_ms));
+                     GbPeerVersionMail_New(&GbPeerVersionMail_HeardClass,
+                                           from->ipv4, &notice.version,
+                                           notice.age_ms));
         return;
     }
     class_of(self)->heard(self, from, &notice);
 }
 
 static void
-send_revision(struct GbPacketTask *self,
-              const struct GbRevisionNoticeMail *mail)
+send_revision(struct GbPacketTask *self, const struct GbPeerVersionMail *mail)
 {
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_REVISION};
 
@@ -132,8 +132,8 @@
         class_of(self)->set_view(
             self, GbPacketView_Ref(((struct GbPacketViewMail *)mail)->view));
     }
-    else if (mail->klass == &GbRevisionNoticeMail_Class) {
-        send_revision(self, (const struct GbRevisionNoticeMail *)mail);
+    else if (mail->klass == &GbPeerVersionMail_NoticeClass) {
+        send_revision(self, (const struct GbPeerVersionMail *)mail);
     }
 }
 
--- /dev/null
+++ b/tests/bench/bench_packet.c
@@ -0,0 +1,226 @@
+/* The packet path: throughput of a balancer's task against a bare relay,
+ * processor time of an agent's decisions, memory of flows, size of news. */
+
+#include <glib.h>
+#include <gsl/gsl_sort.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "packet_head.h"
+#include "protocol/view_delta.h"
+#include "relay.h"
+#include "support/flow_fixture.h"
+#include "support/loopback.h"
+#include "support/memory.h"
+#include "transport/packet_mails.h"
+#include "transport/steering_task.h"
+
+#define AGENTS 9
+#define ROUNDS 7
+#define FLOWS 100000
+#define DECISION_FLOWS 200000
+#define HEAD_BYTES 32
+#define CACHE_CAPACITY 65536
+#define CONTROL_LIMIT 8
+#define TARGET_SEQUENCE 1000
+
+static const struct GbTaskClass control_class = {.name = "control"};
+
+struct Bench {
+    struct GbSystemClock clock;
+    struct GbPacketCodec codec;
+    struct GbTask control;
+    struct LoadSink sink;
+    struct LoadDatagrams datagrams;
+    struct GbSteeringTask task;
+};
+
+static void
+fill_datagrams(struct Bench *bench)
+{
+    for (uint32_t i = 0; i < LOAD_DATAGRAMS; i++) {
+        struct GbFlowKey key = GbFlowFixture_Key(i);
+        uint8_t *data = bench->datagrams.data[i];
+        uint32_t client = htonl(key.client_ipv4);
+        uint32_t service = htonl(key.service_ipv4);
+        uint16_t client_port = htons(key.client_port);
+        uint16_t service_port = htons(key.service_port);
+
+        memset(data, 0, HEAD_BYTES);
+        memcpy(data + 8, &client, sizeof(client));
+        memcpy(data + 12, &client_port, sizeof(client_port));
+        memcpy(data + 14, &service, sizeof(service));
+        memcpy(data + 18, &service_port, sizeof(service_port));
+        /* A packet of an open flow. */
+        data[20] = 16;
+        bench->datagrams.size_bytes[i] = HEAD_BYTES;
+    }
+}
+
+/* Agents of the view are at the sink. */
+static struct GbPacketView *
+make_view(const struct Bench *bench)
+{
+    struct GbPacketView *view = GbFlowFixture_View(AGENTS, 1);
+
+    for (uint32_t i = 0; i < AGENTS; i++) {
+        view->list->instances[i].address = loopback_address(bench->sink.fd);
+    }
+    return view;
+}
+
+static void
+measure_steering(struct Bench *bench, struct RelaySample *sample)
+{
+    struct GbPacketTaskConfig config = {.packets = {LOOPBACK_IPV4, 0},
+                                        .notices = {LOOPBACK_IPV4, 0},
+                                        .codec = &bench->codec,
+                                        .control = &bench->control};
+    struct GbPacketTask *task = &bench->task.super;
+    struct GbPacketView *view = make_view(bench);
+    struct GbLastMessage last;
+    struct GbAddress address;
+    int64_t elapsed_ns;
+
+    GbSteeringTask_Init(&bench->task, &config, "a", CACHE_CAPACITY,
+                        &bench->clock.super);
+    g_assert_cmpint(GbTask_Open(&task->super, &last), ==, GB_TRANSPORT_OK);
+    address = GbUdp_Address(&task->packets);
+    task->config.packets.port = loopback_address(bench->sink.fd).port;
+    GbTask_Post(&task->super, GbPacketViewMail_New(view));
+    g_assert_cmpint(GbTask_Start(&task->super, &last), ==, GB_TRANSPORT_OK);
+    elapsed_ns = relay_load_round(&bench->datagrams, &address,
+                                  task->super.thread, sample);
+    GbTask_Stop(&task->super);
+    relay_finish_sample(sample, elapsed_ns,
+                        task->counters.values[GB_COUNTER_DATAGRAMS_SENT]);
+    GbPacketView_Unref(view);
+}
+
+static void
+compare_with_relay(struct Bench *bench)
+{
+    double columns[5][ROUNDS];
+    double spread[ROUNDS];
+
+    for (int i = 0; i < ROUNDS; i++) {
+        struct RelaySample relay;
+        struct RelaySample steering;
+
+        relay_measure(&bench->datagrams, &bench->sink, &relay);
+        measure_steering(bench, &steering);
+        columns[0][i] = relay.per_second;
+        columns[1][i] = steering.per_second;
+        columns[2][i] = steering.per_second / relay.per_second;
+        columns[3][i] = relay.cpu_ns;
+        columns[4][i] = steering.cpu_ns;
+        spread[i] = columns[2][i];
+    }
+    gsl_sort(spread, 1, ROUNDS);
+    printf("packet of an open flow, one task against a bare relay:\n"
+           "relay %.0f/s steering %.0f/s ratio %.2f (%.2f to %.2f) "
+           "cpu %.0f and %.0f ns a packet\n",
+           relay_median(columns[0], ROUNDS), relay_median(columns[1], ROUNDS),
+           relay_median(columns[2], ROUNDS), spread[0], spread[ROUNDS - 1],
+           relay_median(columns[3], ROUNDS), relay_median(columns[4], ROUNDS));
+}
+
+/* Plays the packets that an agent sees of one flow. */
+static void
+play_flow(struct GbFlowAgentFixture *fixture, uint32_t client)
+{
+    GbFlowAgentFixture_Receive(fixture, client, GB_PACKET_SYN, 0, 0);
+    GbFlowAgentFixture_FromTarget(
+        fixture, client, GB_PACKET_SYN | GB_PACKET_ACK, TARGET_SEQUENCE, 0);
+    GbFlowAgentFixture_Receive(fixture, client, GB_PACKET_ACK,
+                               TARGET_SEQUENCE + 1, 200);
+    GbFlowAgentFixture_FromTarget(fixture, client, GB_PACKET_ACK, 1, 1200);
+    GbFlowAgentFixture_FromTarget(fixture, client, GB_PACKET_ACK, 1201, 800);
+    GbFlowAgentFixture_Receive(fixture, client, GB_PACKET_ACK, 2001, 0);
+    GbFlowAgentFixture_FromTarget(fixture, client,
+                                  GB_PACKET_FIN | GB_PACKET_ACK, 2001, 0);
+    GbFlowAgentFixture_Receive(fixture, client, GB_PACKET_FIN | GB_PACKET_ACK,
+                               2002, 0);
+    GbFlowRecorder_Clear(&fixture->recorder);
+}
+
+static void
+measure_decisions(void)
+{
+    struct GbFlowAgentFixture fixture;
+    int64_t start_ns;
+
+    GbFlowAgentFixture_Init(&fixture, AGENTS);
+    start_ns = load_own_cpu_ns();
+    for (uint32_t i = 0; i < DECISION_FLOWS; i++) {
+        play_flow(&fixture, i % 1000);
+    }
+    printf("decisions of an agent about a flow of 8 packets: %.2f us\n",
+           (double)(load_own_cpu_ns() - start_ns) / DECISION_FLOWS / 1000);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
+static void
+measure_memory(void)
+{
+    struct GbPacketFlowTable table;
+    int64_t before = memory_heap_bytes();
+
+    GbPacketFlowTable_Init(&table, FLOWS);
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        struct GbFlowKey key = {i, 1, 1, 1};
+
+        GbPacketFlowTable_Add(&table, &key, 0);
+    }
+    printf("memory of a flow at an agent: %.0f bytes; at a balancer: %zu "
+           "bytes a place of its cache\n",
+           (double)(memory_heap_bytes() - before) / FLOWS,
+           sizeof(struct GbFlowCacheEntry));
+    GbPacketFlowTable_Finish(&table);
+}
+
+static void
+measure_news(void)
+{
+    static const struct GbViewVersion nothing = {0, 0};
+    struct GbManualClock clock;
+    struct GbViewKeeper keeper;
+    struct GbPacketView *view = GbFlowFixture_View(1000, 1);
+    GByteArray *whole;
+
+    GbManualClock_Init(&clock, 0, 0);
+    GbViewKeeper_Init(&keeper, &clock.super);
+    view->list->version = 1;
+    GbViewKeeper_SetList(&keeper, view->list);
+    whole = GbViewDelta_Write(&keeper, &nothing);
+    printf("news of an instance: %.0f bytes", whole->len / 1000.0);
+    g_byte_array_free(whole, TRUE);
+    GbViewKeeper_SetRoutes(&keeper, view->routes);
+    whole = GbViewDelta_Write(&keeper, &nothing);
+    printf("; a whole list of 1,000 with one route: %u bytes\n", whole->len);
+    g_byte_array_free(whole, TRUE);
+    GbViewKeeper_Finish(&keeper);
+    GbPacketView_Unref(view);
+}
+
+int
+main(void)
+{
+    struct Bench *bench = g_new0(struct Bench, 1);
+
+    GbSystemClock_Init(&bench->clock);
+    GbPacketHead_Init(&bench->codec);
+    GbTask_Init(&bench->control, &control_class, &bench->clock.super,
+                CONTROL_LIMIT);
+    load_sink_start(&bench->sink);
+    fill_datagrams(bench);
+    compare_with_relay(bench);
+    measure_decisions();
+    measure_memory();
+    measure_news();
+    load_sink_stop(&bench->sink);
+    GbTask_Stop(&bench->control);
+    g_free(bench);
+    return 0;
+}
