Give a leaving target no new flow even if nobody else is there

Cause: found by reading. When no other agent of a service was usable, an agent opened new flows at its own target, also after the list named it leaving; a request could reach it later than the bound on draining. A route without a time-out would have made every opening hopeless. Change: such openings wait for another target and are reset when none comes; a route without a time-out leaves only the time after which clients give up. Test: flow_agent, leaving-target-alone; it fails without the change.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -149,7 +149,7 @@
             GbRecentRefusals_Match(&self->refusals, &packet->key, now_us));
     opening->goal_us = opening->first_sent_us;
     opening->give_up_us = sent_us + OPENING_TRIED_US;
-    if (route != NULL) {
+    if (route != NULL && route->timeout_ms > 0) {
         opening->priority = route->priority;
         opening->goal_us += route->latency_goal_ms * US_PER_MS;
         opening->give_up_us =
@@ -182,6 +182,13 @@
     GbFlowAgent_RecordOpening(self, GB_FLOW_DECISION_HELD, opening, now_us);
 }
 
+/* A target that leaves gets no new flow even if nobody else is there. */
+static bool
+is_own_leaving(const struct GbFlowAgent *self)
+{
+    return self->own != NULL && self->own->is_leaving;
+}
+
 /* Gives the packet to the best target that has room. Returns false if none
  * has. */
 static bool
@@ -201,7 +208,7 @@
         (options.count == 0 && packet->hops < GB_FLOW_HOPS_MAX)) {
         add_members(self, &options, now_us);
     }
-    if (options.count == 0 && is_own_allowed) {
+    if (options.count == 0 && is_own_allowed && !is_own_leaving(self)) {
         /* Nobody is known to be better. */
         open_here(self, packet, balancer_ipv4, now_us);
         return true;
--- a/tests/test_flow_agent.c
+++ b/tests/test_flow_agent.c
@@ -352,6 +352,27 @@
     }
 }
 
+/* Fault pattern: the target leaves while all others of its service are silent.
+ * Guards against new flows for a leaving target because nobody is better. */
+static void
+test_leaving_target_alone(void)
+{
+    struct GbFlowAgentFixture fixture;
+    struct GbPacketView *view = GbFlowFixture_View(1, 2);
+
+    view->list->instances[0].is_leaving = true;
+    GbFlowAgentFixture_Init(&fixture, 1);
+    GbFlowAgent_SetView(&fixture.agent, view);
+    GbFlowAgentFixture_Receive(&fixture, 100, GB_PACKET_SYN, 0, 0);
+    GbFlowAgentFixture_Advance(&fixture, 1500 * MS);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_DELIVER), ==,
+        0);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET), ==, 1);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
 /* Fault pattern: an address is used again by another service, and a balancer
  * has not heard of it. Guards against a packet at the wrong service. */
 static void
@@ -457,6 +478,8 @@
                     test_client_follows_another_target);
     g_test_add_func("/flow-agent/own-target-takes-no-new-flows",
                     test_own_target_takes_no_new_flows);
+    g_test_add_func("/flow-agent/leaving-target-alone",
+                    test_leaving_target_alone);
     g_test_add_func("/flow-agent/packet-for-another-service",
                     test_packet_for_another_service);
     g_test_add_func("/flow-agent/half-open-flows-are-not-counted-for-long",
