Take notices of listed instances only

Cause: found by reading. Whoever reached the port for notices could name any address as the owner of a flow, and a balancer sent the flow's packets there. Change: senders and owners that the instance list does not name are ignored and counted. Test: steering, owner-notices, rows of a stranger; the test of a hand-over that it replaces named an unlisted owner.

--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -11,6 +11,17 @@
 /* Agents that one lookup asks at most. */
 #define ASKED_MAX 256
 
+/* Nobody else may say who has a flow, or be named as such. */
+static bool
+is_listed(const struct GbFlowAgent *self, uint32_t ipv4)
+{
+    const struct GbInstance *instance =
+        self->view != NULL ? GbInstanceList_FindIpv4(self->view->list, ipv4)
+                           : NULL;
+
+    return instance != NULL;
+}
+
 static bool
 is_sure(const struct GbFlowAgent *self, int64_t now_us)
 {
@@ -156,6 +167,12 @@
     if (lookup == NULL) {
         return;
     }
+    if (!is_listed(self, from_ipv4) ||
+        (notice->kind == GB_FLOW_NOTICE_OWNER &&
+         !is_listed(self, notice->owner_ipv4))) {
+        GbCounters_Add(self->counters, GB_COUNTER_NOTICES_UNLISTED, 1);
+        return;
+    }
     switch (notice->kind) {
     case GB_FLOW_NOTICE_OWNER:
         GbCounters_Add(self->counters, GB_COUNTER_FLOWS_LOCATED, 1);
--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -59,19 +59,6 @@
     return instance;
 }
 
-static const struct GbInstance *
-find_by_ipv4(const struct GbSteering *self, uint32_t ipv4)
-{
-    const struct GbInstanceList *list = self->view->list;
-
-    for (uint32_t i = 0; i < list->count; i++) {
-        if (list->instances[i].address.ipv4 == ipv4) {
-            return &list->instances[i];
-        }
-    }
-    return NULL;
-}
-
 static void
 record(struct GbSteering *self, enum GbFlowDecisionKind kind,
        const struct GbPacket *packet, uint32_t agent_ipv4)
@@ -139,7 +126,8 @@
 static bool
 is_agent_lost(struct GbSteering *self, uint32_t agent_ipv4, int64_t now_us)
 {
-    const struct GbInstance *instance = find_by_ipv4(self, agent_ipv4);
+    const struct GbInstance *instance =
+        GbInstanceList_FindIpv4(self->view->list, agent_ipv4);
 
     if (instance == NULL) {
         return true;
@@ -225,11 +213,15 @@
     if (self->view == NULL) {
         return;
     }
-    instance = find_by_ipv4(self, from_ipv4);
-    if (instance != NULL) {
-        GbSuspicion_Heard(&self->suspicion, instance->id);
+    instance = GbInstanceList_FindIpv4(self->view->list, from_ipv4);
+    if (instance == NULL) {
+        GbCounters_Add(self->counters, GB_COUNTER_NOTICES_UNLISTED, 1);
+        return;
     }
-    if (notice->kind == GB_FLOW_NOTICE_OWNER) {
+    GbSuspicion_Heard(&self->suspicion, instance->id);
+    if (notice->kind == GB_FLOW_NOTICE_OWNER &&
+        GbInstanceList_FindIpv4(self->view->list, notice->owner_ipv4) !=
+            NULL) {
         GbFlowCache_Put(&self->cache, &notice->key, notice->owner_ipv4, now_us,
                         now_us - CACHE_IDLE_US);
     }
--- a/src/coordination/flows/steering.h
+++ b/src/coordination/flows/steering.h
@@ -40,7 +40,8 @@
 /* Handles a packet of a client. */
 void GbSteering_Receive(struct GbSteering *self, struct GbPacket *packet);
 
-/* Handles a notice of an agent. */
+/* Handles a notice of an agent. Senders and owners that the list does not
+ * name are ignored. */
 void GbSteering_Heard(struct GbSteering *self, uint32_t from_ipv4,
                       const struct GbFlowNotice *notice);
 
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -181,6 +181,9 @@
     [GB_COUNTER_LOOKUPS_PARTIAL] =
         {"lookups_partial_total",
          "Lookups that did not ask all agents of the service."},
+    [GB_COUNTER_NOTICES_UNLISTED] =
+        {"notices_unlisted_total",
+         "Notices that name, or come from, an instance that is not listed."},
     [GB_COUNTER_NOTICES_RECEIVED] = {"notices_received_total",
                                      "Notices of other processes."},
 };
--- a/tests/test_steering.c
+++ b/tests/test_steering.c
@@ -136,22 +136,47 @@
     finish_bench(&bench);
 }
 
-/* Guards against a hand-over that later packets do not follow. */
+struct NoticeCase {
+    const char *name;
+    bool is_sender_listed;
+    bool is_owner_listed;
+    bool is_followed;
+};
+
+static const struct NoticeCase notice_cases[] = {
+    {"of an agent about another one", true, true, true},
+    {"of a stranger", false, true, false},
+    {"about a stranger", true, false, false},
+};
+
+/* Guards against a hand-over that later packets do not follow, and against
+ * forged notices that send flows elsewhere. */
 static void
-test_owner_notice_is_followed(void)
+test_owner_notices(void)
 {
-    struct GbFlowKey key = GbFlowFixture_Key(1);
-    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER, .key = key};
-    struct Bench bench;
-    uint32_t first;
+    for (size_t i = 0; i < G_N_ELEMENTS(notice_cases); i++) {
+        const struct NoticeCase *row = &notice_cases[i];
+        struct GbFlowKey key = GbFlowFixture_Key(1);
+        struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER,
+                                      .key = key};
+        struct Bench bench;
+        uint32_t first;
+        uint32_t other;
 
-    init_bench(&bench, "a");
-    first = send_packet(&bench, &key, GB_PACKET_SYN);
-    notice.owner_ipv4 = first + 1000;
-    GbSteering_Heard(&bench.steering, first, &notice);
-    g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_ACK), ==,
-                     notice.owner_ipv4);
-    finish_bench(&bench);
+        g_test_message("%s", row->name);
+        init_bench(&bench, "a");
+        first = send_packet(&bench, &key, GB_PACKET_SYN);
+        other = first == GB_FLOW_FIXTURE_AGENT_IPV4 ? first + 1 : first - 1;
+        notice.owner_ipv4 =
+            row->is_owner_listed ? other : GB_FLOW_FIXTURE_BALANCER_IPV4;
+        GbSteering_Heard(&bench.steering,
+                         row->is_sender_listed ? first
+                                               : GB_FLOW_FIXTURE_BALANCER_IPV4,
+                         &notice);
+        g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_ACK), ==,
+                         row->is_followed ? other : first);
+        finish_bench(&bench);
+    }
 }
 
 /* Fault pattern: the instance of an agent loses power. Guards against copies
@@ -222,8 +247,7 @@
     g_test_add_func("/steering/two-balancers-agree", test_two_balancers_agree);
     g_test_add_func("/steering/tries-of-a-client-reach-one-agent",
                     test_tries_of_a_client_reach_one_agent);
-    g_test_add_func("/steering/owner-notice-is-followed",
-                    test_owner_notice_is_followed);
+    g_test_add_func("/steering/owner-notices", test_owner_notices);
     g_test_add_func("/steering/agent-loses-power", test_agent_loses_power);
     g_test_add_func("/steering/heard-agent-is-not-suspected",
                     test_heard_agent_is_not_suspected);
