Send no new flows to agents that are being stopped

Cause: balancers ranked an agent until its third opening without answer. Ruled out: the agents' own hand-over (it works while they run). Change: an agent that is stopped tells its balancers at once and with each report; they avoid it for a second after its last word. Test: steering, agent-is-stopped; it fails without the change.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -275,6 +275,7 @@
 GbFlowAgent_Drain(struct GbFlowAgent *self)
 {
     self->is_draining = true;
+    GbFlowLoad_TellBalancers(self, GbClock_MonotonicUs(self->clock));
 }
 
 void
--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -135,6 +135,19 @@
     return GbSuspicion_IsSuspect(&self->suspicion, instance->id, now_us);
 }
 
+/* An agent that is being stopped goes on with its flows and takes no new
+ * ones. */
+static void
+hear_instance(struct GbSteering *self, uint64_t instance_id,
+              const struct GbFlowNotice *notice, int64_t now_us)
+{
+    if (notice->kind == GB_FLOW_NOTICE_LOAD && notice->load.is_draining) {
+        GbSuspicion_Avoid(&self->suspicion, instance_id, now_us);
+        return;
+    }
+    GbSuspicion_Heard(&self->suspicion, instance_id);
+}
+
 void
 GbSteering_Init(struct GbSteering *self, struct GbPacketPort *port,
                 const char *data_centre, uint32_t cache_capacity,
@@ -218,7 +231,7 @@
         GbCounters_Add(self->counters, GB_COUNTER_NOTICES_UNLISTED, 1);
         return;
     }
-    GbSuspicion_Heard(&self->suspicion, instance->id);
+    hear_instance(self, instance->id, notice, now_us);
     if (notice->kind == GB_FLOW_NOTICE_OWNER &&
         GbInstanceList_FindIpv4(self->view->list, notice->owner_ipv4) !=
             NULL) {
--- a/src/coordination/placement/suspicion.c
+++ b/src/coordination/placement/suspicion.c
@@ -7,6 +7,8 @@
 /* Three reports of an answer fit into the silence that makes suspect. */
 #define SHARE_PERIOD_US INT64_C(100000)
 #define PERIOD_START_US INT64_C(2000000)
+/* Longer than the pause of an agent that is stopped and started again. */
+#define AVOID_US INT64_C(1000000)
 #define PERIOD_MAX_US INT64_C(16000000)
 
 struct Entry {
@@ -100,6 +102,18 @@
     }
 }
 
+void
+GbSuspicion_Avoid(struct GbSuspicion *self, uint64_t instance_id,
+                  int64_t now_us)
+{
+    struct Entry *entry = find_or_add(self, instance_id);
+
+    entry->unanswered = 0;
+    entry->suspect_until_us = now_us + AVOID_US;
+    self->suspect_until_us =
+        MAX(self->suspect_until_us, entry->suspect_until_us);
+}
+
 bool
 GbSuspicion_IsShareDue(struct GbSuspicion *self, uint64_t instance_id,
                        int64_t now_us)
--- a/src/coordination/placement/suspicion.h
+++ b/src/coordination/placement/suspicion.h
@@ -36,6 +36,11 @@
 /* The instance has answered: it is not suspect. */
 void GbSuspicion_Heard(struct GbSuspicion *self, uint64_t instance_id);
 
+/* The instance has said itself that it takes no new flows: it is avoided like
+ * a suspect one for a second, or until it is heard otherwise. */
+void GbSuspicion_Avoid(struct GbSuspicion *self, uint64_t instance_id,
+                       int64_t now_us);
+
 /* Whether the other data tasks should be told of an answer. True at most once
  * in 100 ms for each instance. */
 bool GbSuspicion_IsShareDue(struct GbSuspicion *self, uint64_t instance_id,
--- a/tests/test_steering.c
+++ b/tests/test_steering.c
@@ -200,6 +200,31 @@
     finish_bench(&bench);
 }
 
+/* Fault pattern: agents are stopped and started in turn. Guards against new
+ * flows for an agent that is about to be away, while open ones go on. */
+static void
+test_agent_is_stopped(void)
+{
+    struct GbFlowKey key = GbFlowFixture_Key(1);
+    struct GbFlowNotice load = {.kind = GB_FLOW_NOTICE_LOAD};
+    struct GbFlowKey later = key;
+    struct Bench bench;
+    uint32_t first;
+
+    init_bench(&bench, "a");
+    first = send_packet(&bench, &key, GB_PACKET_SYN);
+    load.load.is_draining = true;
+    GbSteering_Heard(&bench.steering, first, &load);
+    later.client_port++;
+    g_assert_cmpuint(send_packet(&bench, &later, GB_PACKET_SYN), !=, first);
+    g_assert_cmpuint(send_packet(&bench, &key, GB_PACKET_ACK), ==, first);
+    load.load.is_draining = false;
+    GbSteering_Heard(&bench.steering, first, &load);
+    later.client_port++;
+    g_assert_cmpuint(send_packet(&bench, &later, GB_PACKET_SYN), ==, first);
+    finish_bench(&bench);
+}
+
 /* Guards against an agent that is heard and suspected all the same. */
 static void
 test_heard_agent_is_not_suspected(void)
@@ -249,6 +274,7 @@
                     test_tries_of_a_client_reach_one_agent);
     g_test_add_func("/steering/owner-notices", test_owner_notices);
     g_test_add_func("/steering/agent-loses-power", test_agent_loses_power);
+    g_test_add_func("/steering/agent-is-stopped", test_agent_is_stopped);
     g_test_add_func("/steering/heard-agent-is-not-suspected",
                     test_heard_agent_is_not_suspected);
     g_test_add_func("/steering/more-flows-than-the-cache-holds",
