Send openings elsewhere when an agent has missed a report

Cause: with agents killed beside live targets, balancers noticed only after three openings and 300 ms without a word; the first copies were lost and later ones went to the same agent. Change: an agent that reported and has been silent for 0.22 to 1.5 s is left out of the ranking like a suspect one. After 1.5 s it may only have stopped because nothing was sent to it. Test: steering, agent-falls-silent; the row "one report missed" fails without the change.

--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -18,6 +18,14 @@
     const char *data_centre;
 };
 
+static bool
+is_avoided(const struct GbSuspicion *suspicion,
+           const struct GbInstance *instance, int64_t now_us)
+{
+    return GbSuspicion_IsSuspect(suspicion, instance->id, now_us) ||
+           GbSuspicion_IsSilent(suspicion, instance->id, now_us);
+}
+
 static bool
 is_excluded(const struct GbInstanceFilter *filter,
             const struct GbInstance *instance)
@@ -28,7 +36,7 @@
         strcmp(self->data_centre, instance->data_centre) != 0) {
         return true;
     }
-    return GbSuspicion_IsSuspect(self->suspicion, instance->id, self->now_us);
+    return is_avoided(self->suspicion, instance, self->now_us);
 }
 
 /* Agent by rank: of the own data centre first, then of any, and suspect ones
@@ -132,7 +140,7 @@
     if (instance == NULL) {
         return true;
     }
-    return GbSuspicion_IsSuspect(&self->suspicion, instance->id, now_us);
+    return is_avoided(&self->suspicion, instance, now_us);
 }
 
 /* An agent that is being stopped goes on with its flows and takes no new
@@ -145,7 +153,7 @@
         GbSuspicion_Avoid(&self->suspicion, instance_id, now_us);
         return;
     }
-    GbSuspicion_Heard(&self->suspicion, instance_id);
+    GbSuspicion_Reported(&self->suspicion, instance_id, now_us);
 }
 
 void
--- a/src/coordination/placement/suspicion.c
+++ b/src/coordination/placement/suspicion.c
@@ -9,6 +9,9 @@
 #define PERIOD_START_US INT64_C(2000000)
 /* Longer than the pause of an agent that is stopped and started again. */
 #define AVOID_US INT64_C(1000000)
+/* Reports come every 140 ms. */
+#define REPORT_SILENCE_US INT64_C(220000)
+#define REPORT_STOPPED_US INT64_C(1500000)
 #define PERIOD_MAX_US INT64_C(16000000)
 
 struct Entry {
@@ -16,6 +19,8 @@
     uint32_t unanswered;
     int64_t first_unanswered_us;
     int64_t suspect_until_us;
+    /* Last report; 0 if there was none. */
+    int64_t reported_us;
     int64_t period_us;
     /* When the other data tasks are told of an answer again. */
     int64_t share_us;
@@ -102,6 +107,28 @@
     }
 }
 
+void
+GbSuspicion_Reported(struct GbSuspicion *self, uint64_t instance_id,
+                     int64_t now_us)
+{
+    find_or_add(self, instance_id)->reported_us = now_us;
+    GbSuspicion_Heard(self, instance_id);
+}
+
+bool
+GbSuspicion_IsSilent(const struct GbSuspicion *self, uint64_t instance_id,
+                     int64_t now_us)
+{
+    const struct Entry *entry = find(self, instance_id);
+    int64_t silence_us;
+
+    if (entry == NULL || entry->reported_us == 0) {
+        return false;
+    }
+    silence_us = now_us - entry->reported_us;
+    return silence_us > REPORT_SILENCE_US && silence_us < REPORT_STOPPED_US;
+}
+
 void
 GbSuspicion_Avoid(struct GbSuspicion *self, uint64_t instance_id,
                   int64_t now_us)
--- a/src/coordination/placement/suspicion.h
+++ b/src/coordination/placement/suspicion.h
@@ -36,11 +36,21 @@
 /* The instance has answered: it is not suspect. */
 void GbSuspicion_Heard(struct GbSuspicion *self, uint64_t instance_id);
 
+/* As GbSuspicion_Heard, and remembers the time. */
+void GbSuspicion_Reported(struct GbSuspicion *self, uint64_t instance_id,
+                          int64_t now_us);
+
 /* The instance has said itself that it takes no new flows: it is avoided like
  * a suspect one for a second, or until it is heard otherwise. */
 void GbSuspicion_Avoid(struct GbSuspicion *self, uint64_t instance_id,
                        int64_t now_us);
 
+/* Whether an instance that reports all the time has just fallen silent. False
+ * for one that was never heard, and for one that has been silent so long that
+ * it may have stopped reporting because nothing was sent to it. */
+bool GbSuspicion_IsSilent(const struct GbSuspicion *self, uint64_t instance_id,
+                          int64_t now_us);
+
 /* Whether the other data tasks should be told of an answer. True at most once
  * in 100 ms for each instance. */
 bool GbSuspicion_IsShareDue(struct GbSuspicion *self, uint64_t instance_id,
--- a/tests/test_steering.c
+++ b/tests/test_steering.c
@@ -200,6 +200,47 @@
     finish_bench(&bench);
 }
 
+struct SilenceCase {
+    const char *name;
+    bool was_heard;
+    int64_t silence_us;
+    bool is_avoided;
+};
+
+static const struct SilenceCase silence_cases[] = {
+    {"never heard", false, 250 * MS, false},
+    {"reported a moment ago", true, 150 * MS, false},
+    {"one report missed", true, 250 * MS, true},
+    {"silent since nothing was sent to it", true, 2000 * MS, false},
+};
+
+/* Fault pattern: agents are killed beside live targets. Guards against
+ * openings that all wait for an agent that has just fallen silent, and against
+ * agents that are never used again. */
+static void
+test_agent_falls_silent(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+        const struct SilenceCase *row = &silence_cases[i];
+        struct GbFlowKey key = GbFlowFixture_Key(1);
+        struct GbFlowNotice load = {.kind = GB_FLOW_NOTICE_LOAD};
+        struct Bench bench;
+        uint32_t first;
+
+        g_test_message("%s", row->name);
+        init_bench(&bench, "a");
+        first = send_packet(&bench, &key, GB_PACKET_SYN);
+        if (row->was_heard) {
+            GbSteering_Heard(&bench.steering, first, &load);
+        }
+        GbManualClock_Advance(&bench.clock, row->silence_us);
+        key.client_port++;
+        g_assert_true((send_packet(&bench, &key, GB_PACKET_SYN) != first) ==
+                      row->is_avoided);
+        finish_bench(&bench);
+    }
+}
+
 /* Fault pattern: agents are stopped and started in turn. Guards against new
  * flows for an agent that is about to be away, while open ones go on. */
 static void
@@ -274,6 +315,7 @@
                     test_tries_of_a_client_reach_one_agent);
     g_test_add_func("/steering/owner-notices", test_owner_notices);
     g_test_add_func("/steering/agent-loses-power", test_agent_loses_power);
+    g_test_add_func("/steering/agent-falls-silent", test_agent_falls_silent);
     g_test_add_func("/steering/agent-is-stopped", test_agent_is_stopped);
     g_test_add_func("/steering/heard-agent-is-not-suspected",
                     test_heard_agent_is_not_suspected);
