--- a/tests/test_platform_processes.c
+++ b/tests/test_platform_processes.c
@@ -84,7 +84,7 @@
 static uint16_t
 port_of(int fd)
 {
-    struct sockaddr_in address;
+    struct sockaddr_in address = {0};
     socklen_t size_bytes = sizeof(address);
 
     g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &size_bytes),
