--- a/src/state/packet_view.c
+++ b/src/state/packet_view.c
@@ -39,6 +39,10 @@
             sorted[count++] = &list->instances[i];
         }
     }
+    if (count == 0) {
+        g_free(sorted);
+        return;
+    }
     qsort(sorted, count, sizeof(const struct GbInstance *), compare_instance);
     self->candidates = g_new0(struct GbCandidates, count);
     for (uint32_t i = 0; i < count; i++) {
@@ -51,9 +55,6 @@
         }
         self->candidates[self->candidates_count - 1].count++;
     }
-    if (count == 0) {
-        g_free(sorted);
-    }
 }
 
 struct GbPacketView *
