Prefer targets that answer to targets that fail requests

Cause: a target that fails part of its requests takes no time for them, so its slots are free and it looks like the least loaded one.

Ruled out: the share of answers by their bytes, which are not read; the time of the answer alone, since requests that only test the configuration are answered as quickly as errors (1.5 ms), about one in a hundred.

An agent now smooths the share of requests that its target resets, ends empty, does not answer or answers in less than an eighth of the usual time, from a quarter on calls it failing, and tells the pool. The share counts in the choice as time, and a failing target gets one flow at a time; both are left out when most targets of the pool fail.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -26,6 +26,8 @@
         .in_flight = self->in_flight,
         .slots = GbFlowLoad_Slots(self),
         .is_cold = now_us < self->warm_us,
+        .failing_percent =
+            GbFlowOutcomes_FailingPercent(&self->outcomes, now_us),
     };
     options->members[options->count++] = NULL;
 }
@@ -43,6 +45,7 @@
             .in_flight = member->load.running,
             .slots = member->load.capacity,
             .is_cold = now_us < member->warm_us,
+            .failing_percent = member->failing_percent,
             .is_remote = true,
             .is_other_data_centre = !member->is_same_data_centre,
         };
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -67,10 +67,12 @@
     GbPacketFlowTable_Touch(&self->flows, flow, now_us);
     if ((packet->flags & GB_PACKET_RST) != 0) {
         flow->is_closing = true;
+        flow->is_awaiting_answer = false;
         GbFlowLoad_End(self, flow);
     }
     else if (packet->data_bytes > 0 && !is_repeated(flow, packet)) {
         flow->request_sequence = packet->sequence;
+        flow->is_awaiting_answer = true;
         GbFlowLoad_Begin(self, flow, now_us);
     }
     /* A client may close its direction together with its request. */
@@ -241,6 +243,7 @@
     GbFlowPool_Init(&self->pool);
     GbFlowLookups_Init(&self->lookups);
     GbFlowTarget_Init(&self->target);
+    GbFlowOutcomes_Init(&self->outcomes);
     GbFlowWaiting_Init(&self->waiting);
     GbRecentRefusals_Init(&self->refusals);
     self->service_us = SERVICE_START_US;
@@ -308,6 +311,18 @@
     }
 }
 
+/* Whether the target ends a flow without any answer to the request on it. */
+static bool
+is_broken_off(const struct GbPacketFlow *flow, const struct GbPacket *packet)
+{
+    if ((packet->flags & GB_PACKET_RST) != 0) {
+        return true;
+    }
+    return (packet->flags & GB_PACKET_FIN) != 0 && packet->data_bytes == 0 &&
+           flow->has_target_sequence &&
+           packet->sequence == flow->target_sequence + 1;
+}
+
 static void
 end_flow(struct GbFlowAgent *self, struct GbPacketFlow *flow, int64_t now_us)
 {
@@ -342,6 +357,9 @@
             flow->has_target_sequence = true;
             flow->target_sequence = packet->sequence;
         }
+        if (is_broken_off(flow, packet)) {
+            GbFlowLoad_Failed(self, flow, now_us);
+        }
         /* The end of an answer may overtake its data. */
         if (packet->data_bytes > 0 || (packet->flags & GB_PACKET_FIN) != 0) {
             GbFlowLoad_Answered(self, flow, now_us);
@@ -370,6 +388,7 @@
         member = GbFlowPool_Find(&self->pool, from_ipv4);
         if (member != NULL) {
             member->load = notice->load;
+            member->failing_percent = notice->failing_percent;
             member->heard_us = GbClock_MonotonicUs(self->clock);
         }
         break;
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -2,6 +2,7 @@
 #define GB_COORDINATION_FLOWS_FLOW_AGENT_STATE_H
 
 #include "coordination/flows/flow_lookup.h"
+#include "coordination/flows/flow_outcomes.h"
 #include "coordination/flows/flow_pool.h"
 #include "coordination/flows/flow_target.h"
 #include "coordination/flows/flow_waiting.h"
@@ -47,6 +48,7 @@
     struct GbFlowPool pool;
     struct GbFlowLookups lookups;
     struct GbFlowTarget target;
+    struct GbFlowOutcomes outcomes;
     struct GbFlowWaiting waiting;
     struct GbRecentRefusals refusals;
     struct GbFlowTimes times;
--- a/src/coordination/flows/flow_choice.c
+++ b/src/coordination/flows/flow_choice.c
@@ -6,6 +6,13 @@
  * is free: flows that are still opening become work at the same time. */
 #define COLLISION_DIVISOR 8
 #define COLD_EXTRA_US (WORK_US / 2)
+/* What a request loses that fails, in time: one that may run only once is
+ * lost. */
+#define FAILED_US INT64_C(200000)
+#define PERCENT 100
+/* Flows that a failing target is given at once, to see whether it has
+ * recovered. */
+#define FAILING_LIMIT 1
 #define HOP_US INT64_C(300)
 #define OTHER_DATA_CENTRE_US INT64_C(2000)
 
@@ -22,6 +29,7 @@
     if (option->is_cold) {
         delay_us += COLD_EXTRA_US + delay_us / 2;
     }
+    delay_us += option->failing_percent * FAILED_US / PERCENT;
     if (option->is_remote) {
         delay_us += HOP_US;
     }
@@ -38,19 +46,47 @@
     return slots + slots / 2 + 1;
 }
 
+/* Whether options that fail requests are avoided. If most of them do, the
+ * cause is likely to be common to all, and avoiding them would only take the
+ * rest of the capacity away. */
+static bool
+is_failing_avoided(const struct GbFlowOption *options, uint32_t count)
+{
+    uint32_t failing = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        failing += options[i].failing_percent > 0;
+    }
+    return failing * 2 <= count;
+}
+
+static uint32_t
+limit_of(const struct GbFlowOption *option, bool is_late)
+{
+    if (option->failing_percent > 0) {
+        return FAILING_LIMIT;
+    }
+    return is_late ? option->slots : GbFlowChoice_Window(option->slots);
+}
+
 int32_t
 GbFlowChoice_Best(const struct GbFlowOption *options, uint32_t count,
                   bool is_late)
 {
+    bool is_avoided = is_failing_avoided(options, count);
     int64_t best_us = INT64_MAX;
     int32_t best = -1;
 
     for (uint32_t i = 0; i < count; i++) {
-        int64_t delay_us = GbFlowChoice_DelayUs(&options[i]);
-        uint32_t limit =
-            is_late ? options[i].slots : GbFlowChoice_Window(options[i].slots);
+        struct GbFlowOption option = options[i];
+        int64_t delay_us;
 
-        if (options[i].in_flight < limit && delay_us < best_us) {
+        if (!is_avoided) {
+            option.failing_percent = 0;
+        }
+        delay_us = GbFlowChoice_DelayUs(&option);
+        if (option.in_flight < limit_of(&option, is_late) &&
+            delay_us < best_us) {
             best_us = delay_us;
             best = (int32_t)i;
         }
--- a/src/coordination/flows/flow_decision.c
+++ b/src/coordination/flows/flow_decision.c
@@ -13,6 +13,8 @@
     [GB_FLOW_DECISION_ADOPTED] = "adopted",
     [GB_FLOW_DECISION_NO_ROUTE] = "no_route",
     [GB_FLOW_DECISION_STEERED] = "steered",
+    [GB_FLOW_DECISION_TARGET_FAILING] = "target_failing",
+    [GB_FLOW_DECISION_TARGET_RECOVERED] = "target_recovered",
 };
 
 const char *
--- a/src/coordination/flows/flow_decision.h
+++ b/src/coordination/flows/flow_decision.h
@@ -26,6 +26,11 @@
     GB_FLOW_DECISION_NO_ROUTE,
     /* The first packet of the flow at this balancer. */
     GB_FLOW_DECISION_STEERED,
+    /* The target began to fail many of its requests: targets that do not are
+     * preferred. The flow is the one that showed it. */
+    GB_FLOW_DECISION_TARGET_FAILING,
+    /* The target answers its requests again. */
+    GB_FLOW_DECISION_TARGET_RECOVERED,
     GB_FLOW_DECISION_KIND_END
 };
 
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -43,6 +43,8 @@
     notice->load.running = self->in_flight;
     notice->load.queued = self->waiting.count;
     notice->load.is_draining = self->is_draining;
+    notice->failing_percent =
+        (uint8_t)GbFlowOutcomes_FailingPercent(&self->outcomes, now_us);
     if (GbFlowLoad_IsOwnUsable(self, now_us)) {
         notice->load.capacity = GbFlowLoad_Slots(self);
     }
@@ -75,6 +77,40 @@
     }
 }
 
+/* Says in the log that the target began or ceased to fail requests. */
+static void
+record_failing(struct GbFlowAgent *self, const struct GbFlowKey *key)
+{
+    GbFlowAgent_Record(
+        self,
+        self->outcomes.is_failing ? GB_FLOW_DECISION_TARGET_FAILING
+                                  : GB_FLOW_DECISION_TARGET_RECOVERED,
+        key, self->config.own_ipv4, self->in_flight, GbFlowLoad_Slots(self));
+}
+
+static bool
+has_no_answer(const struct GbFlowAgent *self, const struct GbPacketFlow *flow,
+              int64_t now_us)
+{
+    return flow->is_awaiting_answer &&
+           now_us - flow->requested_us >=
+               GbFlowOutcomes_PatienceUs(&self->outcomes);
+}
+
+void
+GbFlowLoad_Failed(struct GbFlowAgent *self, struct GbPacketFlow *flow,
+                  int64_t now_us)
+{
+    if (!flow->is_awaiting_answer) {
+        return;
+    }
+    flow->is_awaiting_answer = false;
+    GbCounters_Add(self->counters, GB_COUNTER_FLOWS_FAILED, 1);
+    if (GbFlowOutcomes_Failed(&self->outcomes, now_us)) {
+        record_failing(self, &flow->key);
+    }
+}
+
 void
 GbFlowLoad_Answered(struct GbFlowAgent *self, struct GbPacketFlow *flow,
                     int64_t now_us)
@@ -85,6 +121,13 @@
         return;
     }
     GbFlowLoad_End(self, flow);
+    if (flow->is_awaiting_answer) {
+        flow->is_awaiting_answer = false;
+        if (GbFlowOutcomes_Answered(&self->outcomes,
+                                    now_us - flow->requested_us, now_us)) {
+            record_failing(self, &flow->key);
+        }
+    }
     if (!flow->is_answered) {
         flow->is_answered = true;
         GbHistogram_Add(&self->times.values[GB_FLOW_TIME_ANSWER], taken_us);
@@ -131,6 +174,9 @@
         else if (flow->is_in_flight && is_stale(flow, now_us)) {
             GbFlowLoad_End(self, flow);
         }
+        else if (has_no_answer(self, flow, now_us)) {
+            GbFlowLoad_Failed(self, flow, now_us);
+        }
     }
 }
 
--- a/src/coordination/flows/flow_load.h
+++ b/src/coordination/flows/flow_load.h
@@ -13,6 +13,10 @@
 void GbFlowLoad_Answered(struct GbFlowAgent *self, struct GbPacketFlow *flow,
                          int64_t now_us);
 
+/* The target has broken off a request, or does not answer it. */
+void GbFlowLoad_Failed(struct GbFlowAgent *self, struct GbPacketFlow *flow,
+                       int64_t now_us);
+
 /* Removes a flow and what it counts for. */
 void GbFlowLoad_Remove(struct GbFlowAgent *self, struct GbPacketFlow *flow);
 
--- a/src/coordination/flows/flow_pool.h
+++ b/src/coordination/flows/flow_pool.h
@@ -18,6 +18,8 @@
     int64_t warm_us;
     int64_t heard_us;
     struct GbLoad load;
+    /* Share of its target's requests that fail. */
+    uint32_t failing_percent;
 };
 
 /* Other agents of a service, as one agent sees them. */
--- a/src/protocol/flow_notice_codec.c
+++ b/src/protocol/flow_notice_codec.c
@@ -7,6 +7,16 @@
 /* Kind and service come before the fields of a kind. */
 #define HEAD_ITEMS 2
 #define KEY_ITEMS 4
+#define PERCENT_MAX 100
+
+static const uint32_t item_counts[GB_FLOW_NOTICE_KIND_END] = {
+    [GB_FLOW_NOTICE_LOAD] = HEAD_ITEMS + GB_LOAD_ITEMS + 1,
+    [GB_FLOW_NOTICE_OWNER] = HEAD_ITEMS + KEY_ITEMS + 1,
+    [GB_FLOW_NOTICE_ASK] = HEAD_ITEMS + KEY_ITEMS,
+    [GB_FLOW_NOTICE_NOT_OWNED] = HEAD_ITEMS + KEY_ITEMS,
+    [GB_FLOW_NOTICE_UNSURE] = HEAD_ITEMS + KEY_ITEMS,
+    [GB_FLOW_NOTICE_REVISION] = HEAD_ITEMS + 3,
+};
 
 static void
 put_key(struct GbWriter *writer, const struct GbFlowKey *key)
@@ -26,21 +36,6 @@
     key->service_port = (uint16_t)GbReader_Uint(reader, UINT16_MAX);
 }
 
-static uint32_t
-item_count(enum GbFlowNoticeKind kind)
-{
-    switch (kind) {
-    case GB_FLOW_NOTICE_LOAD:
-        return HEAD_ITEMS + GB_LOAD_ITEMS;
-    case GB_FLOW_NOTICE_OWNER:
-        return HEAD_ITEMS + KEY_ITEMS + 1;
-    case GB_FLOW_NOTICE_REVISION:
-        return HEAD_ITEMS + 3;
-    default:
-        return HEAD_ITEMS + KEY_ITEMS;
-    }
-}
-
 uint32_t
 GbFlowNoticeCodec_Encode(const struct GbFlowNotice *notice, uint8_t *buffer,
                          uint32_t capacity_bytes)
@@ -48,12 +43,13 @@
     struct GbWriter writer;
 
     GbWriter_Init(&writer, buffer, capacity_bytes);
-    GbWriter_PutArray(&writer, item_count(notice->kind));
+    GbWriter_PutArray(&writer, item_counts[notice->kind]);
     GbWriter_PutUint(&writer, notice->kind);
     GbWriter_PutUint(&writer, notice->service_id);
     switch (notice->kind) {
     case GB_FLOW_NOTICE_LOAD:
         GbLoadItems_Put(&writer, &notice->load);
+        GbWriter_PutUint(&writer, notice->failing_percent);
         break;
     case GB_FLOW_NOTICE_REVISION:
         GbWriter_PutUint(&writer, notice->version.revision);
@@ -85,6 +81,7 @@
     switch (notice->kind) {
     case GB_FLOW_NOTICE_LOAD:
         GbLoadItems_Read(&reader, &notice->load);
+        notice->failing_percent = (uint8_t)GbReader_Uint(&reader, PERCENT_MAX);
         break;
     case GB_FLOW_NOTICE_REVISION:
         notice->version.revision = GbReader_Uint(&reader, UINT64_MAX);
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -154,6 +154,9 @@
          "Flows whose opening packet went to the target."},
     [GB_COUNTER_FLOWS_HANDED_OVER] = {"flows_handed_over_total",
                                       "Flows handed to another agent."},
+    [GB_COUNTER_FLOWS_FAILED] = {"flows_failed_total",
+                                 "Requests that the target broke off or did "
+                                 "not answer."},
     [GB_COUNTER_OPENINGS_HELD] =
         {"openings_held_total",
          "Opening packets that waited for a target with room."},
--- a/src/state/flow_notice.h
+++ b/src/state/flow_notice.h
@@ -30,8 +30,9 @@
     struct GbFlowKey key;
     /* OWNER only: IPv4 address of the agent. */
     uint32_t owner_ipv4;
-    /* LOAD only. */
+    /* LOAD only; with the share of the target's requests that fail. */
     struct GbLoad load;
+    uint8_t failing_percent;
     /* REVISION only: what the sender knows, and the time since the platform
      * has confirmed that nothing is newer. */
     struct GbViewVersion version;
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -24,6 +24,8 @@
     uint32_t balancer_ipv4;
     /* Counts as work that the target has, or is about to have. */
     bool is_in_flight;
+    /* The target has a request on it that it has not begun to answer. */
+    bool is_awaiting_answer;
     /* The target has sent data of the flow. */
     bool is_answered;
     bool has_target_sequence;
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -239,12 +239,20 @@
 void
 GbFlowAgentFixture_Load(struct GbFlowAgentFixture *self, uint32_t index,
                         uint32_t running)
+{
+    GbFlowAgentFixture_LoadFailing(self, index, running, 0);
+}
+
+void
+GbFlowAgentFixture_LoadFailing(struct GbFlowAgentFixture *self, uint32_t index,
+                               uint32_t running, uint8_t failing_percent)
 {
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_LOAD};
 
     notice.service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE);
     notice.load.running = running;
     notice.load.capacity = GB_FLOW_FIXTURE_SLOTS;
+    notice.failing_percent = failing_percent;
     GbFlowAgent_Heard(&self->agent, GB_FLOW_FIXTURE_AGENT_IPV4 + index,
                       &notice);
 }
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -74,6 +74,11 @@
 void GbFlowAgentFixture_Load(struct GbFlowAgentFixture *self, uint32_t index,
                              uint32_t running);
 
+/* As GbFlowAgentFixture_Load, for a member whose target fails requests. */
+void GbFlowAgentFixture_LoadFailing(struct GbFlowAgentFixture *self,
+                                    uint32_t index, uint32_t running,
+                                    uint8_t failing_percent);
+
 /* Gives the agent a packet of client flow number client from the balancer. */
 void GbFlowAgentFixture_Receive(struct GbFlowAgentFixture *self,
                                 uint32_t client, uint8_t flags,
--- a/tests/test_flow_notice_codec.c
+++ b/tests/test_flow_notice_codec.c
@@ -6,7 +6,8 @@
 static const struct GbFlowNotice notices[] = {
     {.kind = GB_FLOW_NOTICE_LOAD,
      .service_id = 9,
-     .load = {.running = 3, .queued = 4, .capacity = 2, .is_draining = true}},
+     .load = {.running = 3, .queued = 4, .capacity = 2, .is_draining = true},
+     .failing_percent = 100},
     {.kind = GB_FLOW_NOTICE_OWNER,
      .service_id = 0xffffff,
      .key = {0x64400001, 0xc6120001, 65535, 443},
@@ -40,6 +41,8 @@
         g_assert_cmpuint(decoded.load.running, ==, notices[i].load.running);
         g_assert_cmpuint(decoded.load.capacity, ==, notices[i].load.capacity);
         g_assert_true(decoded.load.is_draining == notices[i].load.is_draining);
+        g_assert_cmpuint(decoded.failing_percent, ==,
+                         notices[i].failing_percent);
         g_assert_cmpuint(decoded.version.revision, ==,
                          notices[i].version.revision);
         g_assert_cmpuint(decoded.version.routes_version, ==,
