Keep an opening that the other agent hands back

Cause: two agents of a pool that hand an opening to each other, because each believes the other to be less loaded, both note the other one as its owner. The opening then goes round until its hops are used up, and so do all its copies: the client gets no answer for 1.4 s.

Ruled out: lost packets and full targets; the simulation has neither at this load.

tests/test_flow_agent, handed-back-opening-stays, fails on the code before.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -281,6 +281,15 @@
     GbFlowLoad_TellBalancers(self, GbClock_MonotonicUs(self->clock));
 }
 
+/* Whether the agent that was given a flow gives it back. Passing it on again
+ * would send it round between the two. */
+static bool
+is_handed_back(const struct GbPacketFlow *flow, uint32_t from_ipv4)
+{
+    return flow->state == GB_PACKET_FLOW_ELSEWHERE &&
+           flow->owner_ipv4 == from_ipv4;
+}
+
 void
 GbFlowAgent_Receive(struct GbFlowAgent *self, uint32_t from_ipv4,
                     struct GbPacket *packet)
@@ -303,7 +312,7 @@
     else if (GbFlowWaiting_Find(&self->waiting, &packet->key) != NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_OPENINGS_REPEATED, 1);
     }
-    else if (flow == NULL) {
+    else if (flow == NULL || is_handed_back(flow, from_ipv4)) {
         GbFlowAdmission_Open(self, packet, balancer_ipv4);
     }
     else {
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -269,6 +269,18 @@
     GbFlowAgent_Flush(&self->agent);
 }
 
+void
+GbFlowAgentFixture_PassedOn(struct GbFlowAgentFixture *self, uint32_t index,
+                            uint32_t client, uint8_t hops)
+{
+    struct GbPacket packet = make_packet(self, client, GB_PACKET_SYN, 0);
+
+    packet.hops = hops;
+    GbFlowAgent_Receive(&self->agent, GB_FLOW_FIXTURE_AGENT_IPV4 + index,
+                        &packet);
+    GbFlowAgent_Flush(&self->agent);
+}
+
 void
 GbFlowAgentFixture_FromTarget(struct GbFlowAgentFixture *self, uint32_t client,
                               uint8_t flags, uint32_t sequence,
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -84,6 +84,12 @@
                                 uint32_t client, uint8_t flags,
                                 uint32_t acknowledgement, uint16_t data_bytes);
 
+/* Gives the agent the opening of a client that member number index has passed
+ * on; hops agents have done so. */
+void GbFlowAgentFixture_PassedOn(struct GbFlowAgentFixture *self,
+                                 uint32_t index, uint32_t client,
+                                 uint8_t hops);
+
 /* Gives the agent a packet from its target. */
 void GbFlowAgentFixture_FromTarget(struct GbFlowAgentFixture *self,
                                    uint32_t client, uint8_t flags,
--- a/tests/test_flow_agent.c
+++ b/tests/test_flow_agent.c
@@ -135,6 +135,31 @@
     GbFlowAgentFixture_Finish(&fixture);
 }
 
+/* Load pattern: a peak at which the member that gets a flow is full by then
+ * and hands it back. Guards against an opening that goes round between two
+ * agents until it is dropped, with all its copies. */
+static void
+test_handed_back_opening_stays(void)
+{
+    struct GbFlowAgentFixture fixture;
+
+    GbFlowAgentFixture_Init(&fixture, 2);
+    GbFlowAgentFixture_Load(&fixture, 1, 4);
+    open_flow(&fixture, 0);
+    open_flow(&fixture, 1);
+    GbFlowAgentFixture_Load(&fixture, 1, 0);
+    GbFlowAgentFixture_Receive(&fixture, 100, GB_PACKET_SYN, 0, 0);
+    GbFlowRecorder_Clear(&fixture.recorder);
+    GbFlowAgentFixture_PassedOn(&fixture, 1, 100, 2);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_FORWARD), ==,
+        0);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_DELIVER), ==,
+        1);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
 struct LookupCase {
     const char *name;
     enum GbFlowNoticeKind answer;
@@ -466,6 +491,8 @@
                     test_peak_with_free_members);
     g_test_add_func("/flow-agent/handed-over-flow-stays-together",
                     test_handed_over_flow_stays_together);
+    g_test_add_func("/flow-agent/handed-back-opening-stays",
+                    test_handed_back_opening_stays);
     g_test_add_func("/flow-agent/balancer-joins-and-flows-move",
                     test_balancer_joins_and_flows_move);
     g_test_add_func("/flow-agent/list-changes-in-a-large-service",
