Check the platform's settings and routes with guavabend check

Cause: a wrong settings file or configuration was only found by a process that started with it, which named the fields without what they should hold; of routes only the first wrong one was named.

Empty names are errors.

--- a/src/programs/command_check.c
+++ b/src/programs/command_check.c
@@ -4,11 +4,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "node_file.h"
 #include "programs/command.h"
 #include "protocol/digest_text.h"
 #include "protocol/document_json.h"
 #include "protocol/time_text.h"
 #include "state/clock.h"
+#include "store_entries.h"
 #include "transport/process.h"
 #include "transport/settings.h"
 
@@ -16,11 +18,23 @@
 
 struct CheckSettings {
     char document[GB_SETTING_TEXT_BYTES];
+    char kind[GB_SETTING_TEXT_BYTES];
+};
+
+/* Kind of file that can be checked. */
+struct CheckKind {
+    const char *name;
+    /* Checks the file at path and prints the result. Returns an exit code. */
+    int (*run)(const char *path);
 };
 
 static const struct GbSetting check_table[] = {
     {"document", GB_SETTING_TEXT, offsetof(struct CheckSettings, document),
-     NULL, 0, 0, "file", "Environment document; may be given without --."},
+     NULL, 0, 0, "file", "File to check; may be given without --."},
+    {"kind", GB_SETTING_TEXT, offsetof(struct CheckSettings, kind), "document",
+     0, 0, "name",
+     "What the file holds: document, or on the platform balancer-settings, "
+     "agent-settings or routes."},
 };
 
 static const char *const check_positionals[] = {"document"};
@@ -47,11 +61,80 @@
     g_string_free(warnings, TRUE);
 }
 
+static int
+check_document(const char *path)
+{
+    struct GbDocument *document = GbCommand_ReadDocument(PROGRAM, path);
+
+    if (document == NULL) {
+        return GB_EXIT_FAILED;
+    }
+    print_document(document);
+    GbDocument_Unref(document);
+    return GB_EXIT_DONE;
+}
+
+static int
+check_settings(const char *path, bool is_agent)
+{
+    GString *errors = g_string_new(NULL);
+    struct GbNodeFile node;
+    bool is_valid =
+        GbNodeFile_Load(&node, path, is_agent, errors) == GB_PLATFORM_OK;
+
+    if (is_valid) {
+        printf("valid instance=%s data_centre=%s seeds=%" PRIu32 "\n",
+               node.name, node.data_centre, node.seed_count);
+    }
+    fputs(errors->str, stderr);
+    g_string_free(errors, TRUE);
+    return is_valid ? GB_EXIT_DONE : GB_EXIT_FAILED;
+}
+
+static int
+check_balancer_settings(const char *path)
+{
+    return check_settings(path, false);
+}
+
+static int
+check_agent_settings(const char *path)
+{
+    return check_settings(path, true);
+}
+
+static int
+check_routes(const char *path)
+{
+    GString *errors = g_string_new(NULL);
+    struct GbRouteTable *routes = NULL;
+    gchar *text = NULL;
+
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        g_string_append_printf(errors, "%s: cannot read %s\n", PROGRAM, path);
+    }
+    else if (GbStoreEntries_Routes(text, &routes, errors) == GB_PLATFORM_OK) {
+        printf("valid version=%" PRIu64 " routes=%" PRIu32 "\n",
+               routes->version, routes->count);
+        GbRouteTable_Unref(routes);
+    }
+    fputs(errors->str, stderr);
+    g_string_free(errors, TRUE);
+    g_free(text);
+    return routes != NULL ? GB_EXIT_DONE : GB_EXIT_FAILED;
+}
+
+static const struct CheckKind check_kinds[] = {
+    {"document", check_document},
+    {"balancer-settings", check_balancer_settings},
+    {"agent-settings", check_agent_settings},
+    {"routes", check_routes},
+};
+
 int
 GbCommand_Check(int argc, char **argv)
 {
-    struct CheckSettings settings = {0};
-    struct GbDocument *document;
+    struct CheckSettings settings = {{0}, {0}};
     int code = GbCommand_LoadSettings(
         check_table, G_N_ELEMENTS(check_table), check_positionals,
         G_N_ELEMENTS(check_positionals), PROGRAM, argc, argv, &settings);
@@ -59,11 +142,11 @@
     if (code != GB_COMMAND_GO_ON) {
         return code;
     }
-    document = GbCommand_ReadDocument(PROGRAM, settings.document);
-    if (document == NULL) {
-        return GB_EXIT_FAILED;
+    for (size_t i = 0; i < G_N_ELEMENTS(check_kinds); i++) {
+        if (strcmp(settings.kind, check_kinds[i].name) == 0) {
+            return check_kinds[i].run(settings.document);
+        }
     }
-    print_document(document);
-    GbDocument_Unref(document);
-    return GB_EXIT_DONE;
+    fprintf(stderr, PROGRAM ": --kind: unknown kind \"%s\"\n", settings.kind);
+    return GB_EXIT_USAGE;
 }
--- /dev/null
+++ b/tests/test_check_platform.c
@@ -0,0 +1,120 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#define GOOD_ROUTES                                                           \
+    "{\"version\":7,\"routes\":[{\"host\":\"198.18.0.1\","                    \
+    "\"prefix\":\"/8443/\",\"service\":\"hints\",\"timeoutMs\":1000}]}"
+#define GOOD_BALANCER                                                         \
+    "{\"node\":\"edge-1\",\"zone\":\"a\",\"ip\":\"10.1.0.10\","               \
+    "\"listen\":{\"datagramAddr\":\"10.1.0.10:8172\","                        \
+    "\"ready\":\"10.1.0.10:8167\"},\"portRange\":[7720,7735],"                \
+    "\"platform\":{\"address\":\"10.200.1.7:8169\"}}"
+
+struct CheckCase {
+    const char *name;
+    const char *kind;
+    const char *text;
+    int exit_code;
+    /* Parts of the output and of the errors, in their order. */
+    const char *output;
+    const char *errors[3];
+};
+
+static const struct CheckCase check_cases[] = {
+    {"routes", "routes", GOOD_ROUTES, 0, "valid version=7 routes=1", {NULL}},
+    {"all errors of routes at once",
+     "routes",
+     "{\"version\":\"x\",\"routes\":[{\"host\":\"h\",\"prefix\":\"/8443/\","
+     "\"service\":\"hints\"},{\"host\":\"198.18.0.1\",\"prefix\":\"8443\"}]}",
+     1,
+     NULL,
+     {"version: missing or malformed; expected a whole number",
+      "routes[0].host: missing or malformed; expected an IPv4 address",
+      "routes[1].prefix: missing or malformed; expected a port"}},
+    {"no list of routes",
+     "routes",
+     "{\"version\":1}",
+     1,
+     NULL,
+     {"routes: missing", NULL}},
+    {"settings of a balancer",
+     "balancer-settings",
+     GOOD_BALANCER,
+     0,
+     "valid instance=edge-1 data_centre=a seeds=0",
+     {NULL}},
+    {"settings of a balancer for an agent",
+     "agent-settings",
+     GOOD_BALANCER,
+     1,
+     NULL,
+     {"listen.outbound: missing; expected an IPv4 address and a port",
+      "app: missing", "service: missing"}},
+    {"cut file",
+     "balancer-settings",
+     "{\"node\":",
+     1,
+     NULL,
+     {"line 1: no JSON", NULL}},
+    {"unknown kind",
+     "manifest",
+     GOOD_ROUTES,
+     2,
+     NULL,
+     {"--kind: unknown kind \"manifest\"", NULL}},
+};
+
+static void
+play(const struct CheckCase *row, const char *path)
+{
+    const char *arguments[] = {
+        GB_BUILD_DIR "/guavabend", "check", path, "--kind", row->kind, NULL};
+    gchar *output = NULL;
+    gchar *errors = NULL;
+    const char *rest;
+    int status = 0;
+
+    g_assert_true(g_file_set_contents(path, row->text, -1, NULL));
+    g_assert_true(g_spawn_sync(NULL, (gchar **)arguments, NULL,
+                               G_SPAWN_DEFAULT, NULL, NULL, &output, &errors,
+                               &status, NULL));
+    g_assert_cmpint(WEXITSTATUS(status), ==, row->exit_code);
+    if (row->output != NULL) {
+        g_assert_nonnull(strstr(output, row->output));
+    }
+    rest = errors;
+    for (size_t i = 0; i < G_N_ELEMENTS(row->errors) && row->errors[i] != NULL;
+         i++) {
+        rest = strstr(rest, row->errors[i]);
+        g_assert_nonnull(rest);
+    }
+    g_free(output);
+    g_free(errors);
+}
+
+/* Guards against a file that is put to use with errors, and against errors
+ * that are found one at a time or do not say what would be right. */
+static void
+test_check(void)
+{
+    gchar *folder = g_dir_make_tmp("guavabend-check-XXXXXX", NULL);
+    gchar *path = g_build_filename(folder, "file.json", NULL);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(check_cases); i++) {
+        g_test_message("%s", check_cases[i].name);
+        play(&check_cases[i], path);
+    }
+    g_unlink(path);
+    g_rmdir(folder);
+    g_free(path);
+    g_free(folder);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/check-platform/check", test_check);
+    return g_test_run();
+}
--- a/tests/test_node_file.c
+++ b/tests/test_node_file.c
@@ -27,20 +27,24 @@
     {"no seeds", "\"seeds\":[\"10.1.0.10:8166\",\"10.2.0.40:8166\"],", "",
      false, GB_PLATFORM_OK, NULL},
     {"agent without target", "", "", true, GB_PLATFORM_MALFORMED,
-     "listen.outbound, app, service"},
+     "listen.outbound: missing; expected an IPv4 address and a port, such as "
+     "10.1.0.10:8167\napp: missing; expected an IPv4 address and a port, such "
+     "as 10.1.0.10:8167\nservice: missing"},
     {"no JSON", "{\"node\"", "{node", false, GB_PLATFORM_MALFORMED, "line 1"},
     {"no name", "\"node\":\"edge-1\",", "", false, GB_PLATFORM_MALFORMED,
-     "node"},
+     "node: missing; expected a text"},
+    {"empty name", "\"edge-1\"", "\"\"", false, GB_PLATFORM_MALFORMED,
+     "node: malformed"},
     {"wrong address", "10.200.1.7:8169", "10.200.1.7", false,
-     GB_PLATFORM_MALFORMED, "platform.address"},
+     GB_PLATFORM_MALFORMED, "platform.address: malformed"},
     {"address of another type", "\"10.1.0.10:8167\"", "8167", false,
-     GB_PLATFORM_MALFORMED, "listen.ready"},
+     GB_PLATFORM_MALFORMED, "listen.ready: no text"},
     {"ports the wrong way round", "7720,7735", "7735,7720", false,
      GB_PLATFORM_MALFORMED, "portRange"},
     {"port out of range", "7735", "77350", false, GB_PLATFORM_MALFORMED,
      "portRange"},
     {"seed that is none", "10.2.0.40:8166", "seed", false,
-     GB_PLATFORM_MALFORMED, "seeds"},
+     GB_PLATFORM_MALFORMED, "seeds[1]: malformed"},
 };
 
 static gchar *
@@ -66,15 +70,19 @@
     for (size_t i = 0; i < G_N_ELEMENTS(node_cases); i++) {
         const struct NodeCase *row = &node_cases[i];
         gchar *text = replaced(row);
-        struct GbLastMessage last = {""};
+        GString *errors = g_string_new(NULL);
         struct GbNodeFile node;
 
         g_test_message("%s", row->name);
-        g_assert_cmpint(GbNodeFile_Parse(&node, text, row->is_agent, &last),
+        g_assert_cmpint(GbNodeFile_Parse(&node, text, row->is_agent, errors),
                         ==, row->status);
         if (row->message != NULL) {
-            g_assert_nonnull(strstr(last.text, row->message));
+            g_assert_nonnull(strstr(errors->str, row->message));
         }
+        else {
+            g_assert_cmpstr(errors->str, ==, "");
+        }
+        g_string_free(errors, TRUE);
         g_free(text);
     }
 }
@@ -82,10 +90,10 @@
 static void
 test_values(void)
 {
-    struct GbLastMessage last;
+    GString *errors = g_string_new(NULL);
     struct GbNodeFile node;
 
-    g_assert_cmpint(GbNodeFile_Parse(&node, BALANCER, false, &last), ==,
+    g_assert_cmpint(GbNodeFile_Parse(&node, BALANCER, false, errors), ==,
                     GB_PLATFORM_OK);
     g_assert_cmpstr(node.name, ==, "edge-1");
     g_assert_cmpstr(node.data_centre, ==, "a");
@@ -96,18 +104,20 @@
     g_assert_cmpuint(node.last_peer_port, ==, 7735);
     g_assert_cmpuint(node.seed_count, ==, 2);
     g_assert_cmpuint(node.store.port, ==, 8169);
+    g_string_free(errors, TRUE);
 }
 
 static void
 test_missing_file(void)
 {
-    struct GbLastMessage last;
+    GString *errors = g_string_new(NULL);
     struct GbNodeFile node;
 
     g_assert_cmpint(
-        GbNodeFile_Load(&node, "/nonexistent/node.json", false, &last), ==,
+        GbNodeFile_Load(&node, "/nonexistent/node.json", false, errors), ==,
         GB_PLATFORM_UNREADABLE);
-    g_assert_nonnull(strstr(last.text, "node.json"));
+    g_assert_nonnull(strstr(errors->str, "node.json"));
+    g_string_free(errors, TRUE);
 }
 
 int
