Send copies of an opening elsewhere when its agent is not heard

A balancer suspects an agent after three openings in 300 ms, and avoids one that has just fallen silent; here it got single openings, and all three copies of each went to it: the client had no answer for 1.4 s.

A live agent reports to a balancer within 140 ms of a packet. When a copy comes 180 ms or more after the first unanswered opening to its agent, and nothing was heard since, the agent is suspect.

test_steering, agent-long-gone, fails on the code before.

--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -140,6 +140,10 @@
     if (instance == NULL) {
         return true;
     }
+    if (GbSuspicion_Copied(&self->suspicion, instance->id, now_us)) {
+        GbCounters_Add(self->counters, GB_COUNTER_INSTANCES_SUSPECTED, 1);
+        return true;
+    }
     return is_avoided(&self->suspicion, instance, now_us);
 }
 
--- a/src/coordination/placement/suspicion.c
+++ b/src/coordination/placement/suspicion.c
@@ -12,6 +12,8 @@
 /* Reports come every 140 ms. */
 #define REPORT_SILENCE_US INT64_C(220000)
 #define REPORT_STOPPED_US INT64_C(1500000)
+/* Clients send the first copy after 200 ms. */
+#define COPY_SILENCE_US INT64_C(180000)
 #define PERIOD_MAX_US INT64_C(16000000)
 
 struct Entry {
@@ -73,6 +75,16 @@
     self->by_instance = NULL;
 }
 
+static void
+suspect(struct GbSuspicion *self, struct Entry *entry, int64_t now_us)
+{
+    entry->suspect_until_us = now_us + entry->period_us;
+    self->suspect_until_us =
+        MAX(self->suspect_until_us, entry->suspect_until_us);
+    entry->period_us = MIN(2 * entry->period_us, PERIOD_MAX_US);
+    entry->unanswered = 0;
+}
+
 bool
 GbSuspicion_Sent(struct GbSuspicion *self, uint64_t instance_id,
                  int64_t now_us)
@@ -87,11 +99,21 @@
         now_us - entry->first_unanswered_us < SILENCE_US) {
         return false;
     }
-    entry->suspect_until_us = now_us + entry->period_us;
-    self->suspect_until_us =
-        MAX(self->suspect_until_us, entry->suspect_until_us);
-    entry->period_us = MIN(2 * entry->period_us, PERIOD_MAX_US);
-    entry->unanswered = 0;
+    suspect(self, entry, now_us);
+    return true;
+}
+
+bool
+GbSuspicion_Copied(struct GbSuspicion *self, uint64_t instance_id,
+                   int64_t now_us)
+{
+    struct Entry *entry = find(self, instance_id);
+
+    if (entry == NULL || entry->unanswered == 0 ||
+        now_us - entry->first_unanswered_us < COPY_SILENCE_US) {
+        return false;
+    }
+    suspect(self, entry, now_us);
     return true;
 }
 
--- a/src/coordination/placement/suspicion.h
+++ b/src/coordination/placement/suspicion.h
@@ -26,6 +26,12 @@
 bool GbSuspicion_Sent(struct GbSuspicion *self, uint64_t instance_id,
                       int64_t now_us);
 
+/* A copy comes of an opening that went to the instance. Returns true if this
+ * makes the instance suspect: it has not been heard since, for longer than a
+ * live one that got a packet stays silent. */
+bool GbSuspicion_Copied(struct GbSuspicion *self, uint64_t instance_id,
+                        int64_t now_us);
+
 /* Forgets the instances that the list does not name. */
 void GbSuspicion_KeepListed(struct GbSuspicion *self,
                             const struct GbInstanceList *list);
--- a/tests/test_check_platform.c
+++ b/tests/test_check_platform.c
@@ -11,6 +11,8 @@
     "\"ready\":\"10.1.0.10:8167\"},\"portRange\":[7720,7735],"                \
     "\"platform\":{\"address\":\"10.200.1.7:8169\"}}"
 
+static const char program[] = GB_BUILD_DIR "/guavabend";
+
 struct CheckCase {
     const char *name;
     const char *kind;
@@ -68,8 +70,8 @@
 static void
 play(const struct CheckCase *row, const char *path)
 {
-    const char *arguments[] = {
-        GB_BUILD_DIR "/guavabend", "check", path, "--kind", row->kind, NULL};
+    const char *arguments[] = {program,  "check",   path,
+                               "--kind", row->kind, NULL};
     gchar *output = NULL;
     gchar *errors = NULL;
     const char *rest;
--- a/tests/test_steering.c
+++ b/tests/test_steering.c
@@ -241,6 +241,48 @@
     }
 }
 
+struct LongGoneCase {
+    const char *name;
+    /* Time from the first copy to the second one. */
+    int64_t copy_ms;
+    /* Whether the agent reports between them. */
+    bool is_heard;
+    bool is_moved;
+};
+
+static const struct LongGoneCase long_gone_cases[] = {
+    {"the agent lives", 200, true, false},
+    {"nothing heard since the first copy", 200, false, true},
+    {"a copy that comes too early to tell", 100, false, false},
+};
+
+/* Fault pattern: an agent has been gone for long, and its entry is still
+ * listed. Guards against all copies of an opening that go there. */
+static void
+test_agent_long_gone(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(long_gone_cases); i++) {
+        const struct LongGoneCase *row = &long_gone_cases[i];
+        struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_LOAD};
+        struct GbFlowKey key = GbFlowFixture_Key(1);
+        struct Bench bench;
+        uint32_t first;
+        uint32_t second;
+
+        g_test_message("%s", row->name);
+        init_bench(&bench, "a");
+        first = send_packet(&bench, &key, GB_PACKET_SYN);
+        GbManualClock_Advance(&bench.clock, row->copy_ms / 2 * MS);
+        if (row->is_heard) {
+            GbSteering_Heard(&bench.steering, first, &notice);
+        }
+        GbManualClock_Advance(&bench.clock, row->copy_ms / 2 * MS);
+        second = send_packet(&bench, &key, GB_PACKET_SYN);
+        g_assert_true((second != first) == row->is_moved);
+        finish_bench(&bench);
+    }
+}
+
 /* Fault pattern: agents are stopped and started in turn. Guards against new
  * flows for an agent that is about to be away, while open ones go on. */
 static void
@@ -316,6 +358,7 @@
     g_test_add_func("/steering/owner-notices", test_owner_notices);
     g_test_add_func("/steering/agent-loses-power", test_agent_loses_power);
     g_test_add_func("/steering/agent-falls-silent", test_agent_falls_silent);
+    g_test_add_func("/steering/agent-long-gone", test_agent_long_gone);
     g_test_add_func("/steering/agent-is-stopped", test_agent_is_stopped);
     g_test_add_func("/steering/heard-agent-is-not-suspected",
                     test_heard_agent_is_not_suspected);
