Add a fault soak of real processes

It runs the programs for the platform as processes on loopback and plays what is outside them: the store with a proxy for each process, targets, clients and the fabric. Signals, harmed connections, crashes and planned work come in series and overlap, drawn by a seed; promises are checked from what clients and targets see. tests/soak/seeds.txt keeps the seeds that failed with their cause, make soak plays them and fresh ones, and a run of 8 s of faults is a test.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,15 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
+# Fresh seeds that make soak plays, from SEED on, and how many at a time.
+SEED ?= $(shell date +%s)
+SOAK_COUNT ?= 6
+SOAK_JOBS ?= 4
+
 # Time for which make fuzz feeds random datagrams.
 FUZZ_SECONDS ?= 20
 
-.PHONY: all deps build build-sanitize test scenarios fault-matrix demo bench \
+.PHONY: all deps build build-sanitize test scenarios fault-matrix demo soak bench \
 	bench-policy bench-capacity fuzz format format-check lint layers clean
 
 all: build
@@ -27,6 +32,9 @@
 demo:
 	tools/demo.sh
 
+soak: build
+	tools/soak.sh $(BUILD) $(SEED) $(SOAK_COUNT) $(SOAK_JOBS)
+
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
