--- a/tests/bench/bench_packet.c
+++ b/tests/bench/bench_packet.c
@@ -1,11 +1,14 @@
 /* The packet path: throughput of a balancer's task against a bare relay,
- * processor time of an agent's decisions, memory of flows, size of news. */
+ * processor time of an agent's decisions and of their log lines, memory of
+ * flows, size of news. */
 
+#include <fcntl.h>
 #include <glib.h>
 #include <gsl/gsl_sort.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "packet_head.h"
 #include "protocol/view_delta.h"
@@ -13,6 +16,8 @@
 #include "support/flow_fixture.h"
 #include "support/loopback.h"
 #include "support/memory.h"
+#include "transport/flow_log.h"
+#include "transport/log.h"
 #include "transport/packet_mails.h"
 #include "transport/steering_task.h"
 
@@ -24,6 +29,9 @@
 #define CACHE_CAPACITY 65536
 #define CONTROL_LIMIT 8
 #define TARGET_SEQUENCE 1000
+#define LOG_LINES 200000
+/* Four lines about openings a second are written. */
+#define LOG_WITHIN_BUDGET_US 300000
 
 static const struct GbTaskClass control_class = {.name = "control"};
 
@@ -204,6 +212,48 @@
     GbPacketView_Unref(view);
 }
 
+/* Time of LOG_LINES decisions, each time_us after the last one. */
+static double
+time_log(int64_t time_us)
+{
+    struct GbFlowDecision decision = {.kind = GB_FLOW_DECISION_OPENED,
+                                      .key = GbFlowFixture_Key(1),
+                                      .agent_ipv4 =
+                                          GB_FLOW_FIXTURE_AGENT_IPV4};
+    struct GbManualClock clock;
+    struct GbFlowLog log;
+    gint64 start_us = g_get_monotonic_time();
+
+    GbManualClock_Init(&clock, 0, 0);
+    GbFlowLog_Init(&log, &clock.super);
+    for (uint32_t i = 0; i < LOG_LINES; i++) {
+        GbManualClock_Advance(&clock, time_us);
+        GbFlowLog_Write(&log, &decision);
+    }
+    return (double)(g_get_monotonic_time() - start_us) / LOG_LINES;
+}
+
+/* What a line costs, and what one costs that the budget leaves out. */
+static void
+measure_log(void)
+{
+    int output = dup(STDOUT_FILENO);
+    int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    double written_us;
+    double left_out_us;
+
+    GbLog_Init("bench", "info");
+    dup2(sink, STDOUT_FILENO);
+    written_us = time_log(LOG_WITHIN_BUDGET_US);
+    left_out_us = time_log(1);
+    dup2(output, STDOUT_FILENO);
+    GbLog_Finish();
+    close(output);
+    close(sink);
+    printf("line about a decision: %.2f us; left out: %.2f us\n", written_us,
+           left_out_us);
+}
+
 int
 main(void)
 {
@@ -219,6 +269,8 @@
     measure_decisions();
     measure_memory();
     measure_news();
+    fflush(stdout);
+    measure_log();
     load_sink_stop(&bench->sink);
     GbTask_Stop(&bench->control);
     g_free(bench);
