Match only new openings from balancers with refusals

Cause, found when reading: any opening of a client consumed its note of a refusal, also a later copy of another one, and one that an agent had passed on with its age; both then passed for the retry, and the retry for a new request. A refusal is now noted where the retry arrives only.

test_opening_age, what-is-no-retry, fails on the code before.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -126,16 +126,13 @@
     GbFlowAdmission_PassOn(self, packet, member->ipv4, balancer_of(opening));
 }
 
-/* The client's retry reaches the agent that passed the opening on. */
+/* Tells the agent that passed an opening on. */
 static void
 tell_refused(struct GbFlowAgent *self, const struct GbFlowOpening *opening,
              int64_t now_us)
 {
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_REFUSED};
 
-    if (opening->packet.hops == 0) {
-        return;
-    }
     notice.service_id = self->config.service_id;
     notice.key = opening->packet.key;
     notice.age_ms = ago_ms(opening->first_sent_us, now_us);
@@ -151,9 +148,12 @@
     if (now_us >= opening->expires_us) {
         return;
     }
+    if (opening->packet.hops > 0) {
+        tell_refused(self, opening, now_us);
+        return;
+    }
     GbRecentRefusals_Add(&self->refusals, &opening->packet.key,
                          opening->first_sent_us, now_us);
-    tell_refused(self, opening, now_us);
 }
 
 static void
@@ -180,16 +180,26 @@
     return now_us - MAX(copy_us, packet->sent_ago_ms * US_PER_MS);
 }
 
+/* Whether an opening can be a retry that is not known as such yet: other
+ * copies of it have been seen, and agents say what they know. */
+static bool
+is_new_here(const struct GbPacket *packet)
+{
+    return packet->hops == 0 && packet->acknowledgement == 0;
+}
+
 static int64_t
 first_sent_us(struct GbFlowAgent *self, const struct GbFlowOpening *opening,
               int64_t now_us)
 {
     const struct GbPacket *packet = &opening->packet;
     int64_t asked_us = now_us - packet->asked_ago_ms * US_PER_MS;
-    int64_t refused_us =
-        GbRecentRefusals_Match(&self->refusals, &packet->key, now_us);
 
-    return MIN(opening->sent_us, MIN(asked_us, refused_us));
+    if (is_new_here(packet)) {
+        asked_us =
+            GbRecentRefusals_Match(&self->refusals, &packet->key, now_us);
+    }
+    return MIN(opening->sent_us, asked_us);
 }
 
 static void
--- a/tests/soak/soak_clients.c
+++ b/tests/soak/soak_clients.c
@@ -46,18 +46,6 @@
     int64_t next_request_ms;
 };
 
-static guint
-hash_name(gconstpointer name)
-{
-    return SoakFlowName_Hash(name);
-}
-
-static gboolean
-equal_name(gconstpointer a, gconstpointer b)
-{
-    return SoakFlowName_Equal(a, b);
-}
-
 static struct SoakPromises *
 promises_of(const struct SoakFlow *flow)
 {
@@ -373,7 +361,7 @@
     memset(self, 0, sizeof(*self));
     self->world = world;
     self->next_port = FIRST_PORT;
-    self->flows = g_hash_table_new_full(hash_name, equal_name, NULL, g_free);
+    self->flows = SoakFlowName_NewTable(g_free);
     for (uint32_t i = 0; i < SOAK_CLIENTS; i++) {
         open_client(self, i);
     }
--- a/tests/soak/soak_packet.c
+++ b/tests/soak/soak_packet.c
@@ -69,6 +69,18 @@
     return hash(sum, bytes + SOAK_HEAD_BYTES, size_bytes - SOAK_HEAD_BYTES);
 }
 
+static guint
+hash_key(gconstpointer name)
+{
+    return SoakFlowName_Hash(name);
+}
+
+static gboolean
+equal_key(gconstpointer a, gconstpointer b)
+{
+    return SoakFlowName_Equal(a, b);
+}
+
 size_t
 SoakPacket_Write(const struct SoakPacket *self,
                  uint8_t bytes[SOAK_PACKET_BYTES_MAX])
@@ -138,3 +150,9 @@
     value = hash(value, (const uint8_t *)&self->service_ipv4, 4);
     return hash(value, (const uint8_t *)&self->service_port, 2);
 }
+
+GHashTable *
+SoakFlowName_NewTable(GDestroyNotify free_value)
+{
+    return g_hash_table_new_full(hash_key, equal_key, NULL, free_value);
+}
--- a/tests/soak/soak_packet.h
+++ b/tests/soak/soak_packet.h
@@ -1,6 +1,7 @@
 #ifndef GB_TESTS_SOAK_PACKET_H
 #define GB_TESTS_SOAK_PACKET_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -47,4 +48,8 @@
 
 uint32_t SoakFlowName_Hash(const struct SoakFlowName *self);
 
+/* Empty table by flow name, which the values hold; they are freed with
+ * free_value. */
+GHashTable *SoakFlowName_NewTable(GDestroyNotify free_value);
+
 #endif
--- a/tests/soak/soak_targets.c
+++ b/tests/soak/soak_targets.c
@@ -23,18 +23,6 @@
     struct event *work;
 };
 
-static guint
-hash_name(gconstpointer name)
-{
-    return SoakFlowName_Hash(name);
-}
-
-static gboolean
-equal_name(gconstpointer a, gconstpointer b)
-{
-    return SoakFlowName_Equal(a, b);
-}
-
 static void
 free_flow(gpointer data)
 {
@@ -279,8 +267,7 @@
     self->agent = agent;
     self->fd = SoakWorld_Bind(agent->ip, world->target_port);
     g_assert_cmpint(self->fd, >=, 0);
-    self->flows =
-        g_hash_table_new_full(hash_name, equal_name, NULL, free_flow);
+    self->flows = SoakFlowName_NewTable(free_flow);
     self->readable =
         event_new(world->base, self->fd, EV_READ | EV_PERSIST, readable, self);
     event_add(self->readable, NULL);
--- a/tests/test_opening_age.c
+++ b/tests/test_opening_age.c
@@ -186,6 +186,55 @@
     }
 }
 
+struct NoRetryCase {
+    const char *name;
+    /* Hops of the next opening of the client, and number of its copy. */
+    uint8_t hops;
+    uint32_t copy;
+    int64_t expected_ms;
+};
+
+static const struct NoRetryCase no_retry_cases[] = {
+    {"first copy from a balancer", 0, 0, 700},
+    {"a later copy", 0, 1, 200},
+    {"passed on by an agent, which knows its age", 1, 0, 0},
+};
+
+/* Load pattern: as above, when another opening of the client comes first.
+ * Guards against an opening that passes for the retry of another request. */
+static void
+test_what_is_no_retry(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(no_retry_cases); i++) {
+        const struct NoRetryCase *row = &no_retry_cases[i];
+        struct GbFlowAgentFixture fixture;
+        struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_REFUSED,
+                                      .key = GbFlowFixture_Key(CLIENT),
+                                      .age_ms = 700};
+        struct GbPacket packet = {.key = GbFlowFixture_Key(RETRY_CLIENT),
+                                  .flags = GB_PACKET_SYN,
+                                  .hops = row->hops};
+
+        g_test_message("%s", row->name);
+        GbFlowAgentFixture_Init(&fixture, 2);
+        fill(&fixture);
+        notice.service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE);
+        GbFlowAgent_Heard(&fixture.agent, GB_FLOW_FIXTURE_AGENT_IPV4 + 1,
+                          &notice);
+        packet.service_id = notice.service_id;
+        packet.acknowledgement = row->copy;
+        packet.bytes = fixture.bytes;
+        packet.size_bytes = sizeof(fixture.bytes);
+        GbFlowAgent_Receive(&fixture.agent, GB_FLOW_FIXTURE_AGENT_IPV4 + 1,
+                            &packet);
+        g_assert_cmpint(
+            age_ms(&fixture,
+                   waiting_of(&fixture, RETRY_CLIENT)->first_sent_us),
+            ==, row->expected_ms);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 /* As above, at the agent that refuses. */
 static void
 test_passed_on_opening_is_refused(void)
@@ -220,6 +269,7 @@
                     test_refused_client_retries);
     g_test_add_func("/opening-age/member-refuses-and-client-retries",
                     test_member_refuses_and_client_retries);
+    g_test_add_func("/opening-age/what-is-no-retry", test_what_is_no_retry);
     g_test_add_func("/opening-age/passed-on-opening-is-refused",
                     test_passed_on_opening_is_refused);
     return g_test_run();
