--- a/src/coordination/flows/flow_waiting.h
+++ b/src/coordination/flows/flow_waiting.h
@@ -39,7 +39,7 @@
  * client has probably gone.
  *
  * Answers the load pattern of a fleet that comes back from an outage or a
- * crest: the openings of that time are late already, and served first they
+ * peak: the openings of that time are late already, and served first they
  * would make all new ones late too; those of clients that have gone would keep
  * places without any use. */
 struct GbFlowWaiting {
--- a/tests/support/policy_simulation.c
+++ b/tests/support/policy_simulation.c
@@ -8,12 +8,12 @@
 #define US_PER_MS 1000.0
 #define LONG_IN 100
 #define LONG_FACTOR 50
-#define CREST_LOAD 0.85
+#define PEAK_LOAD 0.85
 #define SWING 10.0
 /* One cycle of demand: a rise within 2 s, the peak, a fall, a trough. */
 #define CYCLE_US INT64_C(30000000)
 #define RISE_US INT64_C(2000000)
-#define CREST_US INT64_C(12000000)
+#define PEAK_US INT64_C(12000000)
 #define WINDOW_US INT64_C(10000000)
 #define REPORT_US INT64_C(100000)
 #define STALE_REPORT_US INT64_C(1000000)
@@ -27,7 +27,7 @@
     struct Simulation *simulation;
     struct GbCallerFlow flow;
     bool is_counted;
-    bool is_crest;
+    bool is_peak;
     int64_t deadline_us;
 };
 
@@ -38,7 +38,7 @@
     struct GbSeededRandom demand;
     int64_t start_us;
     int64_t end_us;
-    double crest_per_us;
+    double peak_per_us;
     struct PolicyResult *result;
     uint32_t windows;
 };
@@ -71,11 +71,11 @@
 }
 
 static bool
-is_crest(const struct Simulation *self, int64_t at_us)
+is_peak(const struct Simulation *self, int64_t at_us)
 {
     int64_t phase_us = phase(self, at_us);
 
-    return phase_us >= RISE_US && phase_us < RISE_US + CREST_US;
+    return phase_us >= RISE_US && phase_us < RISE_US + PEAK_US;
 }
 
 /* Demand as a share of the peak. */
@@ -88,10 +88,10 @@
     if (phase_us < RISE_US) {
         return low + (1 - low) * (double)phase_us / (double)RISE_US;
     }
-    if (phase_us < RISE_US + CREST_US) {
+    if (phase_us < RISE_US + PEAK_US) {
         return 1;
     }
-    phase_us -= RISE_US + CREST_US;
+    phase_us -= RISE_US + PEAK_US;
     if (phase_us < RISE_US) {
         return 1 - (1 - low) * (double)phase_us / (double)RISE_US;
     }
@@ -115,7 +115,7 @@
     struct DemandCall *call = context;
     struct PolicyResult *total = call->simulation->result;
 
-    if (call->is_counted && call->is_crest) {
+    if (call->is_counted && call->is_peak) {
         double elapsed_ms = (double)result->elapsed_us / US_PER_MS;
 
         total->calls++;
@@ -139,7 +139,7 @@
                      self->scenario->demand != DEMAND_LONG_ONLY;
     uint32_t caller = GbRandom_Below(&self->demand.super, CALLERS);
     int64_t next_us =
-        now(self) + (int64_t)(-log(uniform(self)) / self->crest_per_us) + 1;
+        now(self) + (int64_t)(-log(uniform(self)) / self->peak_per_us) + 1;
 
     (void)context;
     if (next_us < self->end_us) {
@@ -150,7 +150,7 @@
         double factor = is_longer ? LONG_FACTOR : 1;
 
         call->simulation = self;
-        call->is_crest = is_crest(self, now(self));
+        call->is_peak = is_peak(self, now(self));
         /* The first cycle warms up. */
         call->is_counted =
             !is_longer && now(self) - self->start_us >= CYCLE_US;
@@ -188,7 +188,7 @@
 }
 
 static void
-begin_crest(struct Event *event, void *context)
+begin_peak(struct Event *event, void *context)
 {
     struct Simulation *self = ((struct Mark *)event)->simulation;
 
@@ -205,7 +205,7 @@
         policy_fleet_arm(host);
     }
     if (now(self) + CYCLE_US < self->end_us) {
-        post(self, begin_crest, now(self) + CYCLE_US);
+        post(self, begin_peak, now(self) + CYCLE_US);
     }
 }
 
@@ -282,8 +282,8 @@
     result->latencies = g_array_new(FALSE, FALSE, sizeof(double));
     self->scenario = scenario;
     self->result = result;
-    self->crest_per_us =
-        CREST_LOAD * scenario->hosts * scenario->slots / mean_us;
+    self->peak_per_us =
+        PEAK_LOAD * scenario->hosts * scenario->slots / mean_us;
     policy_fleet_init(&self->fleet, scenario, policy, seed + 1);
     self->fleet.delivered = delivered;
     GbSeededRandom_Init(&self->demand, seed);
@@ -294,7 +294,7 @@
     }
     post(self, arrive, self->start_us);
     post(self, report, self->start_us);
-    post(self, begin_crest, self->start_us + RISE_US);
+    post(self, begin_peak, self->start_us + RISE_US);
     post(self, end_window, self->start_us + RISE_US + WINDOW_US);
     while ((event = event_queue_take(&self->fleet.events)) != NULL &&
            event->at_us < self->end_us) {
--- a/tests/test_flow_overload.c
+++ b/tests/test_flow_overload.c
@@ -16,11 +16,11 @@
 };
 
 static const struct OverloadCase overload_cases[] = {
-    {"a crest at one and a half of what targets can do", 150, 2, 100},
-    {"a crest at three times what targets can do", 300, 3, 100},
-    {"a short crest at six times what targets can do", 600, 1, 100},
+    {"a peak at one and a half of what targets can do", 150, 2, 100},
+    {"a peak at three times what targets can do", 300, 3, 100},
+    {"a short peak at six times what targets can do", 600, 1, 100},
     {"targets that are cold work more slowly", 80, 2, 160},
-    {"targets that are cold, at a crest", 150, 2, 160},
+    {"targets that are cold, at a peak", 150, 2, 160},
 };
 
 /* Load pattern: load beyond what all targets of a service can do, with clients
--- a/tests/test_opening_age.c
+++ b/tests/test_opening_age.c
@@ -60,7 +60,7 @@
     {"third copy of one that waited elsewhere", 2, 350, 350, 600, 600},
 };
 
-/* Load pattern: a crest at which openings wait at one agent and are handed to
+/* Load pattern: a peak at which openings wait at one agent and are handed to
  * another. Guards against an age that is lost on the way, so that an old
  * opening passes for a new one. */
 static void
@@ -114,7 +114,7 @@
     GbFlowAgentFixture_Finish(&fixture);
 }
 
-/* Load pattern: a crest at which a client whose opening was refused retries at
+/* Load pattern: a peak at which a client whose opening was refused retries at
  * once from a new port. Guards against a retry that passes for a new request,
  * and against a new request of another client that passes for the retry. */
 static void
