--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -1,6 +1,5 @@
 #include "soak_faults.h"
 
-#include <event2/http.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <string.h>
@@ -18,12 +17,8 @@
 /* From a target's end until its address is used again. */
 #define REUSE_MS 2000
 #define HTTP_BUSY 503
-#define TIMEOUTS_MS                                                           \
-    {                                                                         \
-        1000, 2000, 5000                                                      \
-    }
-
-struct SoakFaultKind;
+/* Time-outs that the configuration gives to routes. */
+static const uint32_t timeouts_ms[] = {1000, 2000, 5000};
 
 /* What ends or follows later. */
 struct SoakUndo {
@@ -342,8 +337,6 @@
 static void
 change_timeouts(struct SoakFaults *self)
 {
-    static const uint32_t timeouts_ms[] = TIMEOUTS_MS;
-
     self->world->timeout_ms =
         timeouts_ms[SoakWorld_Plan(self->world, G_N_ELEMENTS(timeouts_ms))];
     SoakWorld_PutRoutes(self->world);
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -23,6 +23,10 @@
 #define SERVICE_IPV4 0xc6120001U
 #define TIMEOUT_MS 2000
 #define PORT_TRIES 50
+/* Below the ports that the system gives to outgoing connections. */
+#define PORT_MIN 20000
+#define PORT_MAX 32000
+#define NUMBER_BASE 10
 
 enum Phase {
     PHASE_START,
@@ -137,7 +141,7 @@
 free_port(uint32_t kind, uint32_t count)
 {
     for (int try = 0; try < PORT_TRIES; try++) {
-        uint16_t port = (uint16_t)g_random_int_range(20000, 32000);
+        uint16_t port = (uint16_t)g_random_int_range(PORT_MIN, PORT_MAX);
         bool is_free = true;
 
         for (uint32_t i = 0; i < count && is_free; i++) {
@@ -251,7 +255,6 @@
 
     memset(&soak, 0, sizeof(soak));
     init_world(&soak.world, seed);
-    soak.world.clients = &soak.clients;
     soak.faults_ms = faults_ms;
     init_fleet(&soak.world);
     SoakClients_Init(&soak.clients, &soak.world);
@@ -282,8 +285,9 @@
                         "Logs go to FOLDER if a promise is broken.\n");
         return 2;
     }
-    seed = (uint32_t)strtoul(argv[1], NULL, 10);
-    broken = run(seed, strtoll(argv[2], NULL, 10) * MS_PER_SECOND, argv[3]);
+    seed = (uint32_t)strtoul(argv[1], NULL, NUMBER_BASE);
+    broken = run(seed, strtoll(argv[2], NULL, NUMBER_BASE) * MS_PER_SECOND,
+                 argv[3]);
     printf("seed %u: %u promises broken\n", seed, broken);
     return broken == 0 ? 0 : 1;
 }
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -10,9 +10,9 @@
 #define DELAY_MS 300
 #define US_PER_MS 1000
 
-/* One direction: bytes read from a side wait in held until they are due. */
+/* One direction of a link. Bytes that are not passed on yet wait in the input
+ * buffer of the side that they come from. */
 struct SoakPipe {
-    struct SoakLink *link;
     struct bufferevent *from;
     struct bufferevent *to;
     struct event *timer;
@@ -123,7 +123,6 @@
 init_pipe(struct SoakPipe *pipe, struct SoakLink *link,
           struct bufferevent *from, struct bufferevent *to)
 {
-    pipe->link = link;
     pipe->from = from;
     pipe->to = to;
     pipe->timer = evtimer_new(link->proxy->base, pass, pipe);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -104,7 +104,6 @@
     uint16_t peer_port;
     /* Target that ran a request, plus one, by its id. */
     GHashTable *runs;
-    struct SoakClients *clients;
 };
 
 /* Address number index of a kind (0 balancers, 1 agents, 2 clients) in the
