Prefer fast targets to slow ones with free slots

Ruled out: waiting at the slow target (at most two flows are beyond its slots).

Agents measure the time from a request to the first data of its answer anyhow; they now tell it to the pool, and the choice adds the difference to the fastest target if a target takes more than twice as long. A time without newer answers is believed for a second, so that the target is tried again; the first answer after that replaces it.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -28,6 +28,7 @@
         .is_cold = now_us < self->warm_us,
         .failing_percent =
             GbFlowOutcomes_FailingPercent(&self->outcomes, now_us),
+        .work_us = GbFlowOutcomes_WorkUs(&self->outcomes, now_us),
     };
     options->members[options->count++] = NULL;
 }
@@ -46,6 +47,7 @@
             .slots = member->load.capacity,
             .is_cold = now_us < member->warm_us,
             .failing_percent = member->failing_percent,
+            .work_us = member->work_us,
             .is_remote = true,
             .is_other_data_centre = !member->is_same_data_centre,
         };
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -401,6 +401,7 @@
         if (member != NULL) {
             member->load = notice->load;
             member->failing_percent = notice->failing_percent;
+            member->work_us = notice->work_us;
             member->heard_us = GbClock_MonotonicUs(self->clock);
         }
         break;
--- a/src/coordination/flows/flow_choice.c
+++ b/src/coordination/flows/flow_choice.c
@@ -17,6 +17,7 @@
  * slots that expired ones get at most. */
 #define LATE_DIVISOR 4
 #define EXPIRED_DIVISOR 2
+#define SLOW_FACTOR 2
 #define HOP_US INT64_C(300)
 #define OTHER_DATA_CENTRE_US INT64_C(2000)
 
@@ -64,6 +65,32 @@
     return failing * 2 <= count;
 }
 
+/* Shortest known time of work; 0 if none is known. */
+static uint32_t
+shortest_work_us(const struct GbFlowOption *options, uint32_t count)
+{
+    uint32_t shortest_us = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t work_us = options[i].work_us;
+
+        if (work_us > 0 && (shortest_us == 0 || work_us < shortest_us)) {
+            shortest_us = work_us;
+        }
+    }
+    return shortest_us;
+}
+
+/* What a slow target costs beyond the fastest one. Up to a factor, the time of
+ * work only shows how busy a target was. */
+static int64_t
+slowness_us(const struct GbFlowOption *option, uint32_t shortest_us)
+{
+    return option->work_us > (uint64_t)SLOW_FACTOR * shortest_us
+               ? (int64_t)option->work_us - shortest_us
+               : 0;
+}
+
 static uint32_t
 limit_of(const struct GbFlowOption *option, enum GbFlowUrgency urgency)
 {
@@ -85,6 +112,7 @@
                   enum GbFlowUrgency urgency)
 {
     bool is_avoided = is_failing_avoided(options, count);
+    uint32_t shortest_us = shortest_work_us(options, count);
     int64_t best_us = INT64_MAX;
     int32_t best = -1;
 
@@ -95,7 +123,8 @@
         if (!is_avoided) {
             option.failing_percent = 0;
         }
-        delay_us = GbFlowChoice_DelayUs(&option);
+        delay_us =
+            GbFlowChoice_DelayUs(&option) + slowness_us(&option, shortest_us);
         if (option.in_flight < limit_of(&option, urgency) &&
             delay_us < best_us) {
             best_us = delay_us;
--- a/src/coordination/flows/flow_choice.h
+++ b/src/coordination/flows/flow_choice.h
@@ -21,6 +21,8 @@
     bool is_cold;
     /* Share of the target's requests that fail. */
     uint32_t failing_percent;
+    /* Time that the target takes to begin an answer; 0 if it is not known. */
+    uint32_t work_us;
     /* The flow has to be passed on to another agent. */
     bool is_remote;
     bool is_other_data_centre;
@@ -40,7 +42,7 @@
  * gets hardly more than the slots that are free, so that it does not make
  * others late; one whose client has probably gone leaves half of the slots
  * free. A target that fails requests gets one flow at a time, unless most of
- * them fail.
+ * them fail. One that is much slower than the fastest costs the difference.
  *
  * Answers the load pattern of a peak at which flows arrive faster than single
  * targets finish them while others of the pool have free slots. */
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -45,6 +45,7 @@
     notice->load.is_draining = self->is_draining;
     notice->failing_percent =
         (uint8_t)GbFlowOutcomes_FailingPercent(&self->outcomes, now_us);
+    notice->work_us = GbFlowOutcomes_WorkUs(&self->outcomes, now_us);
     if (GbFlowLoad_IsOwnUsable(self, now_us)) {
         notice->load.capacity = GbFlowLoad_Slots(self);
     }
--- a/src/coordination/flows/flow_outcomes.c
+++ b/src/coordination/flows/flow_outcomes.c
@@ -14,6 +14,9 @@
  * the second. */
 #define FAILING_PPM 250000U
 #define RECOVERED_PPM 100000U
+/* A time of work without newer answers is no longer believed, so that a slow
+ * target is tried again. */
+#define WORK_FORGET_US INT64_C(1000000)
 /* Weight of one answer in the smoothed time of work. Suspiciously quick ones
  * have the lower weight, so that they become usual only after hundreds. */
 #define WORK_DIVISOR 16
@@ -67,8 +70,9 @@
                         int64_t now_us)
 {
     bool is_quick = taken_us < self->work_us / QUICK_DIVISOR;
+    bool is_old = now_us - self->updated_us >= WORK_FORGET_US;
 
-    if (self->work_us == 0) {
+    if (self->work_us == 0 || (is_old && !is_quick)) {
         self->work_us = taken_us;
     }
     self->work_us += (taken_us - self->work_us) /
@@ -89,6 +93,13 @@
     return self->is_failing ? share_at(self, now_us) / PPM_PER_PERCENT : 0;
 }
 
+uint32_t
+GbFlowOutcomes_WorkUs(const struct GbFlowOutcomes *self, int64_t now_us)
+{
+    return now_us - self->updated_us < WORK_FORGET_US ? (uint32_t)self->work_us
+                                                      : 0;
+}
+
 int64_t
 GbFlowOutcomes_PatienceUs(const struct GbFlowOutcomes *self)
 {
--- a/src/coordination/flows/flow_outcomes.h
+++ b/src/coordination/flows/flow_outcomes.h
@@ -38,6 +38,11 @@
 uint32_t GbFlowOutcomes_FailingPercent(const struct GbFlowOutcomes *self,
                                        int64_t now_us);
 
+/* Time that the target has taken lately to begin an answer, in microseconds;
+ * 0 if it is not known. */
+uint32_t GbFlowOutcomes_WorkUs(const struct GbFlowOutcomes *self,
+                               int64_t now_us);
+
 /* Time after which a request without answer counts as failed, in
  * microseconds. */
 int64_t GbFlowOutcomes_PatienceUs(const struct GbFlowOutcomes *self);
--- a/src/coordination/flows/flow_pool.h
+++ b/src/coordination/flows/flow_pool.h
@@ -20,6 +20,8 @@
     struct GbLoad load;
     /* Share of its target's requests that fail. */
     uint32_t failing_percent;
+    /* Time that its target takes to begin an answer; 0 if it is not known. */
+    uint32_t work_us;
 };
 
 /* Other agents of a service, as one agent sees them. */
--- a/src/protocol/flow_notice_codec.c
+++ b/src/protocol/flow_notice_codec.c
@@ -10,7 +10,7 @@
 #define PERCENT_MAX 100
 
 static const uint32_t item_counts[GB_FLOW_NOTICE_KIND_END] = {
-    [GB_FLOW_NOTICE_LOAD] = HEAD_ITEMS + GB_LOAD_ITEMS + 1,
+    [GB_FLOW_NOTICE_LOAD] = HEAD_ITEMS + GB_LOAD_ITEMS + 2,
     [GB_FLOW_NOTICE_OWNER] = HEAD_ITEMS + KEY_ITEMS + 1,
     [GB_FLOW_NOTICE_ASK] = HEAD_ITEMS + KEY_ITEMS,
     [GB_FLOW_NOTICE_NOT_OWNED] = HEAD_ITEMS + KEY_ITEMS,
@@ -51,6 +51,7 @@
     case GB_FLOW_NOTICE_LOAD:
         GbLoadItems_Put(&writer, &notice->load);
         GbWriter_PutUint(&writer, notice->failing_percent);
+        GbWriter_PutUint(&writer, notice->work_us);
         break;
     case GB_FLOW_NOTICE_REVISION:
         GbWriter_PutUint(&writer, notice->version.revision);
@@ -87,6 +88,7 @@
     case GB_FLOW_NOTICE_LOAD:
         GbLoadItems_Read(&reader, &notice->load);
         notice->failing_percent = (uint8_t)GbReader_Uint(&reader, PERCENT_MAX);
+        notice->work_us = (uint32_t)GbReader_Uint(&reader, UINT32_MAX);
         break;
     case GB_FLOW_NOTICE_REVISION:
         notice->version.revision = GbReader_Uint(&reader, UINT64_MAX);
--- a/src/state/flow_notice.h
+++ b/src/state/flow_notice.h
@@ -33,9 +33,11 @@
     struct GbFlowKey key;
     /* OWNER only: IPv4 address of the agent. */
     uint32_t owner_ipv4;
-    /* LOAD only; with the share of the target's requests that fail. */
+    /* LOAD only; with the share of the target's requests that fail, and the
+     * time that it takes to begin an answer, 0 if it is not known. */
     struct GbLoad load;
     uint8_t failing_percent;
+    uint32_t work_us;
     /* REVISION only: what the sender knows, and the time since the platform
      * has confirmed that nothing is newer. */
     struct GbViewVersion version;
--- a/tests/support/flow_pool_simulation.c
+++ b/tests/support/flow_pool_simulation.c
@@ -170,7 +170,7 @@
             target_packet(key, GB_PACKET_ACK | GB_PACKET_FIN,
                           TARGET_SEQUENCE + 1, ANSWER_BYTES);
         struct SimEvent *event = add_event(
-            self, EVENT_WORK_DONE, work_ms * self->work_percent / PERCENT);
+            self, EVENT_WORK_DONE, work_ms * member->work_percent / PERCENT);
 
         event->member = member->index;
         event->packet = answer;
@@ -186,6 +186,9 @@
     struct GbPacket answer = target_packet(
         &packet->key, GB_PACKET_SYN | GB_PACKET_ACK, TARGET_SEQUENCE, 0);
 
+    if (member->is_silent) {
+        return;
+    }
     if ((packet->flags & GB_PACKET_SYN) != 0) {
         add_packet_event(member->sim, EVENT_ACCEPTED, member->index, 0,
                          &answer);
@@ -473,6 +476,7 @@
     member->super.klass = &port_class;
     member->sim = self;
     member->index = index;
+    member->work_percent = PERCENT;
     g_queue_init(&member->waiting);
     GbFlowAgent_Init(&member->agent, &config, &member->super,
                      &self->clock.super, &self->counters);
@@ -497,7 +501,6 @@
     self->requests = g_hash_table_new(hash_key, equal_key);
     self->random = g_rand_new_with_seed(seed);
     self->next_port = 1024;
-    self->work_percent = PERCENT;
     for (uint32_t i = 0; i < GB_POOL_SIM_AGENTS; i++) {
         init_member(self, i);
     }
@@ -525,6 +528,15 @@
     }
 }
 
+void
+GbPoolSim_SetWork(struct GbPoolSim *self, uint32_t count,
+                  uint32_t work_percent)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        self->members[i].work_percent = work_percent;
+    }
+}
+
 uint32_t
 GbPoolSim_InGoalPercent(const struct GbPoolSim *self, uint32_t second)
 {
--- a/tests/support/flow_pool_simulation.h
+++ b/tests/support/flow_pool_simulation.h
@@ -31,6 +31,10 @@
     /* Struct SimWork that waits for a slot, and work in slots. */
     GQueue waiting;
     uint32_t running;
+    /* Time of work, in percent of the usual one. */
+    uint32_t work_percent;
+    /* The target gets packets and sends none. */
+    bool is_silent;
 };
 
 /* Agents of one service with their targets, and clients that open one flow a
@@ -47,8 +51,6 @@
     GRand *random;
     uint32_t next_port;
     int64_t now_ms;
-    /* Time of work, in percent of the usual one. */
-    uint32_t work_percent;
     struct GbPoolSimSecond seconds[GB_POOL_SIM_SECONDS_MAX];
 };
 
@@ -61,6 +63,10 @@
 void GbPoolSim_Play(struct GbPoolSim *self, int64_t time_ms,
                     uint32_t load_percent);
 
+/* Sets the time of work at count targets, from the first one on. */
+void GbPoolSim_SetWork(struct GbPoolSim *self, uint32_t count,
+                       uint32_t work_percent);
+
 /* Requests of a second that were answered within their goal, in percent. */
 uint32_t GbPoolSim_InGoalPercent(const struct GbPoolSim *self,
                                  uint32_t second);
--- a/tests/test_flow_notice_codec.c
+++ b/tests/test_flow_notice_codec.c
@@ -7,7 +7,8 @@
     {.kind = GB_FLOW_NOTICE_LOAD,
      .service_id = 9,
      .load = {.running = 3, .queued = 4, .capacity = 2, .is_draining = true},
-     .failing_percent = 100},
+     .failing_percent = 100,
+     .work_us = 70000},
     {.kind = GB_FLOW_NOTICE_OWNER,
      .service_id = 0xffffff,
      .key = {0x64400001, 0xc6120001, 65535, 443},
@@ -44,6 +45,7 @@
         g_assert_true(decoded.load.is_draining == notices[i].load.is_draining);
         g_assert_cmpuint(decoded.failing_percent, ==,
                          notices[i].failing_percent);
+        g_assert_cmpuint(decoded.work_us, ==, notices[i].work_us);
         g_assert_cmpuint(decoded.version.revision, ==,
                          notices[i].version.revision);
         g_assert_cmpuint(decoded.version.routes_version, ==,
--- a/tests/test_flow_overload.c
+++ b/tests/test_flow_overload.c
@@ -36,10 +36,10 @@
 
         GbPoolSim_Init(&sim, 1);
         GbPoolSim_Play(&sim, SECOND_MS, CALM_PERCENT);
-        sim.work_percent = row->work_percent;
+        GbPoolSim_SetWork(&sim, GB_POOL_SIM_AGENTS, row->work_percent);
         GbPoolSim_Play(&sim, (int64_t)row->seconds * SECOND_MS,
                        row->load_percent);
-        sim.work_percent = 100;
+        GbPoolSim_SetWork(&sim, GB_POOL_SIM_AGENTS, 100);
         GbPoolSim_Play(&sim, 3 * SECOND_MS, CALM_PERCENT);
         /* Until the last client has given up. */
         GbPoolSim_Play(&sim, 3 * SECOND_MS, 0);
--- /dev/null
+++ b/tests/test_flow_placement.c
@@ -0,0 +1,99 @@
+#include <glib.h>
+
+#include "support/flow_pool_simulation.h"
+
+#define SECOND_MS 1000
+#define SECONDS 4
+
+struct PoolCase {
+    const char *name;
+    /* Load, in percent of what all targets can do. */
+    uint32_t load_percent;
+    /* Targets that work more slowly, and by how much. */
+    uint32_t slow_targets;
+    uint32_t work_percent;
+    /* Agents that take no new flows. */
+    uint32_t draining_agents;
+    uint32_t in_goal_percent_min;
+};
+
+/* Loads stay below 85% of what the other targets can do. A request has 100 ms
+ * and works for 8 to 24. */
+static const struct PoolCase pool_cases[] = {
+    {"all targets alike", 80, 0, 100, 0, 98},
+    {"two targets are cold after a release", 70, 2, 160, 0, 95},
+    {"a hot service with a pool that is partly drained", 60, 0, 100, 2, 95},
+    {"partly drained, and the new targets are cold", 50, 2, 160, 2, 95},
+};
+
+/* Load patterns of a pool whose targets are not alike. Guards against flows
+ * that wait at slow, cold or leaving targets while others have free slots. */
+static void
+test_pool_of_unlike_targets(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(pool_cases); i++) {
+        const struct PoolCase *row = &pool_cases[i];
+        struct GbPoolSim sim;
+
+        GbPoolSim_Init(&sim, 1);
+        GbPoolSim_SetWork(&sim, row->slow_targets, row->work_percent);
+        for (uint32_t k = 0; k < row->draining_agents; k++) {
+            GbFlowAgent_Drain(&sim.members[GB_POOL_SIM_AGENTS - 1 - k].agent);
+        }
+        GbPoolSim_Play(&sim, SECONDS * SECOND_MS, row->load_percent);
+        /* Until the last client has given up. */
+        GbPoolSim_Play(&sim, 3 * SECOND_MS, 0);
+        for (uint32_t second = 1; second < SECONDS; second++) {
+            g_test_message("%s: second %u: %u%% in goal", row->name, second,
+                           GbPoolSim_InGoalPercent(&sim, second));
+            g_assert_cmpuint(GbPoolSim_InGoalPercent(&sim, second), >=,
+                             row->in_goal_percent_min);
+        }
+        GbPoolSim_Finish(&sim);
+    }
+}
+
+#define FLAP_MS 900
+#define FLAPS 5
+#define FLAP_LOAD_PERCENT 50
+#define ANSWERED_PERCENT_MIN 95
+
+/* Fault pattern: a target goes down and up by turns while its entry says that
+ * it is ready. Guards against requests that are lost at it each time, and
+ * against a target that is never used again. */
+static void
+test_flapping_target(void)
+{
+    struct GbPoolSim sim;
+    uint32_t sent = 0;
+    uint32_t answered = 0;
+
+    GbPoolSim_Init(&sim, 1);
+    for (uint32_t i = 0; i < FLAPS; i++) {
+        sim.members[0].is_silent = false;
+        GbPoolSim_Play(&sim, FLAP_MS, FLAP_LOAD_PERCENT);
+        sim.members[0].is_silent = true;
+        GbPoolSim_Play(&sim, FLAP_MS, FLAP_LOAD_PERCENT);
+    }
+    sim.members[0].is_silent = false;
+    GbPoolSim_Play(&sim, 2 * SECOND_MS, FLAP_LOAD_PERCENT);
+    g_assert_cmpuint(sim.members[0].agent.in_flight, >, 0);
+    GbPoolSim_Play(&sim, 3 * SECOND_MS, 0);
+    for (uint32_t second = 0; second < GB_POOL_SIM_SECONDS_MAX; second++) {
+        sent += sim.seconds[second].sent;
+        answered += sim.seconds[second].in_goal + sim.seconds[second].late;
+    }
+    g_test_message("sent %u, answered %u", sent, answered);
+    g_assert_cmpuint(answered * 100, >=, sent * ANSWERED_PERCENT_MIN);
+    GbPoolSim_Finish(&sim);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/flow-placement/pool-of-unlike-targets",
+                    test_pool_of_unlike_targets);
+    g_test_add_func("/flow-placement/flapping-target", test_flapping_target);
+    return g_test_run();
+}
