Split the events off the simulation of a pool

Events and requests have a module of their own; the tests that use the simulation pass plainly and under the sanitizers, with the same bounds.

--- a/tests/support/flow_pool_simulation.c
+++ b/tests/support/flow_pool_simulation.c
@@ -3,11 +3,11 @@
 #include <string.h>
 
 #include "support/flow_fixture.h"
+#include "support/flow_pool_events.h"
 
 #define US_PER_MS 1000
 #define MS_PER_SECOND 1000
 #define PERCENT 100
-#define WAY_MS 1
 #define WORK_MS 16
 #define RETRIES_MAX 2
 #define OPENING_TRIED_MS 1400
@@ -15,61 +15,10 @@
 #define REQUEST_BYTES 200
 #define ANSWER_BYTES 600
 #define FLOWS_MAX 8192
-#define PACKET_BYTES 32
 
 static const int64_t copy_delays_ms[] = {0, 200, 600};
 
-enum EventKind {
-    /* A packet or notice reaches a member. */
-    EVENT_PACKET,
-    EVENT_NOTICE,
-    /* A copy of an opening is due, or the last one has had its time. */
-    EVENT_COPY,
-    EVENT_GIVE_UP,
-    EVENT_DEADLINE,
-    /* Something reaches a client. */
-    EVENT_REPLY,
-    EVENT_RESET,
-    EVENT_RETRY,
-    /* The target answers an opening, or has done its work. */
-    EVENT_ACCEPTED,
-    EVENT_WORK_DONE
-};
-
-struct SimRequest {
-    uint32_t client;
-    int64_t first_ms;
-    uint32_t tries;
-    bool is_open;
-    bool is_over;
-    struct GbFlowKey key;
-    /* Events that refer to it. */
-    uint32_t references;
-};
-
-struct SimEvent {
-    enum EventKind kind;
-    int64_t due_ms;
-    uint32_t member;
-    uint32_t from_ipv4;
-    struct GbPacket packet;
-    struct GbFlowNotice notice;
-    struct SimRequest *request;
-    uint32_t copy;
-    uint32_t try;
-};
-
-static uint8_t packet_bytes[PACKET_BYTES];
-
-static gint
-compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-    int64_t x = ((const struct SimEvent *)a)->due_ms;
-    int64_t y = ((const struct SimEvent *)b)->due_ms;
-
-    (void)data;
-    return (x > y) - (x < y);
-}
+static uint8_t packet_bytes[GB_POOL_SIM_PACKET_BYTES];
 
 static guint
 hash_key(gconstpointer key)
@@ -83,41 +32,6 @@
     return GbFlowKey_Equal(a, b);
 }
 
-static struct SimEvent *
-add_event(struct GbPoolSim *self, enum EventKind kind, int64_t after_ms)
-{
-    struct SimEvent *event = g_new0(struct SimEvent, 1);
-
-    event->kind = kind;
-    event->due_ms = self->now_ms + after_ms;
-    g_sequence_insert_sorted(self->events, event, compare_events, NULL);
-    return event;
-}
-
-static void
-add_request_event(struct GbPoolSim *self, enum EventKind kind,
-                  int64_t after_ms, struct SimRequest *request)
-{
-    struct SimEvent *event = add_event(self, kind, after_ms);
-
-    event->request = request;
-    event->try = request->tries;
-    request->references++;
-}
-
-static void
-add_packet_event(struct GbPoolSim *self, enum EventKind kind, uint32_t member,
-                 uint32_t from_ipv4, const struct GbPacket *packet)
-{
-    struct SimEvent *event = add_event(self, kind, WAY_MS);
-
-    event->member = member;
-    event->from_ipv4 = from_ipv4;
-    event->packet = *packet;
-    event->packet.bytes = packet_bytes;
-    event->packet.size_bytes = PACKET_BYTES;
-}
-
 static uint32_t
 member_of(uint32_t ipv4)
 {
@@ -136,8 +50,9 @@
 {
     struct GbPoolSimMember *member = (struct GbPoolSimMember *)port;
 
-    add_packet_event(member->sim, EVENT_PACKET, member_of(agent_ipv4),
-                     ipv4_of(member->index), packet);
+    GbPoolEvent_AddPacket(member->sim, GB_POOL_EVENT_PACKET,
+                          member_of(agent_ipv4), ipv4_of(member->index),
+                          packet);
 }
 
 static struct GbPacket
@@ -151,7 +66,7 @@
     packet.data_bytes = data_bytes;
     packet.service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE);
     packet.bytes = packet_bytes;
-    packet.size_bytes = PACKET_BYTES;
+    packet.size_bytes = GB_POOL_SIM_PACKET_BYTES;
     return packet;
 }
 
@@ -169,8 +84,9 @@
         struct GbPacket answer =
             target_packet(key, GB_PACKET_ACK | GB_PACKET_FIN,
                           TARGET_SEQUENCE + 1, ANSWER_BYTES);
-        struct SimEvent *event = add_event(
-            self, EVENT_WORK_DONE, work_ms * member->work_percent / PERCENT);
+        struct GbPoolEvent *event =
+            GbPoolEvent_Add(self, GB_POOL_EVENT_WORK_DONE,
+                            work_ms * member->work_percent / PERCENT);
 
         event->member = member->index;
         event->packet = answer;
@@ -190,8 +106,8 @@
         return;
     }
     if ((packet->flags & GB_PACKET_SYN) != 0) {
-        add_packet_event(member->sim, EVENT_ACCEPTED, member->index, 0,
-                         &answer);
+        GbPoolEvent_AddPacket(member->sim, GB_POOL_EVENT_ACCEPTED,
+                              member->index, 0, &answer);
         return;
     }
     if (packet->data_bytes > 0) {
@@ -206,7 +122,8 @@
 {
     struct GbPoolSimMember *member = (struct GbPoolSimMember *)port;
 
-    add_packet_event(member->sim, EVENT_REPLY, member->index, 0, packet);
+    GbPoolEvent_AddPacket(member->sim, GB_POOL_EVENT_REPLY, member->index, 0,
+                          packet);
 }
 
 static void
@@ -216,7 +133,8 @@
     struct GbPoolSimMember *member = (struct GbPoolSimMember *)port;
     struct GbPacket packet = target_packet(key, GB_PACKET_RST, sequence, 0);
 
-    add_packet_event(member->sim, EVENT_RESET, member->index, 0, &packet);
+    GbPoolEvent_AddPacket(member->sim, GB_POOL_EVENT_RESET, member->index, 0,
+                          &packet);
 }
 
 static void
@@ -224,12 +142,13 @@
        uint32_t to_ipv4)
 {
     struct GbPoolSimMember *member = (struct GbPoolSimMember *)port;
-    struct SimEvent *event;
+    struct GbPoolEvent *event;
 
     if (member_of(to_ipv4) >= GB_POOL_SIM_AGENTS) {
         return;
     }
-    event = add_event(member->sim, EVENT_NOTICE, WAY_MS);
+    event =
+        GbPoolEvent_Add(member->sim, GB_POOL_EVENT_NOTICE, GB_POOL_SIM_WAY_MS);
     event->member = member_of(to_ipv4);
     event->from_ipv4 = ipv4_of(member->index);
     event->notice = *notice;
@@ -253,53 +172,54 @@
 
 /* All tries of a client reach the agent of its first rank. */
 static void
-send_packet(struct GbPoolSim *self, const struct SimRequest *request,
+send_packet(struct GbPoolSim *self, const struct GbPoolRequest *request,
             uint8_t flags, uint32_t acknowledgement, uint16_t data_bytes)
 {
     struct GbPacket packet =
         target_packet(&request->key, flags, 0, data_bytes);
 
     packet.acknowledgement = acknowledgement;
-    add_packet_event(
-        self, EVENT_PACKET,
+    GbPoolEvent_AddPacket(
+        self, GB_POOL_EVENT_PACKET,
         (uint32_t)(GbFlowKey_ClientHash(&request->key) % GB_POOL_SIM_AGENTS),
         GB_FLOW_FIXTURE_BALANCER_IPV4, &packet);
 }
 
 static void
-start_try(struct GbPoolSim *self, struct SimRequest *request)
+start_try(struct GbPoolSim *self, struct GbPoolRequest *request)
 {
     request->key = GbFlowFixture_Key(request->client);
     request->key.client_port = (uint16_t)self->next_port++;
     request->is_open = false;
     g_hash_table_replace(self->requests, &request->key, request);
     for (uint32_t copy = 0; copy < G_N_ELEMENTS(copy_delays_ms); copy++) {
-        struct SimEvent *event =
-            add_event(self, EVENT_COPY, copy_delays_ms[copy]);
+        struct GbPoolEvent *event =
+            GbPoolEvent_Add(self, GB_POOL_EVENT_COPY, copy_delays_ms[copy]);
 
         event->request = request;
         event->copy = copy;
         event->try = request->tries;
         request->references++;
     }
-    add_request_event(self, EVENT_GIVE_UP, OPENING_TRIED_MS, request);
+    GbPoolEvent_AddRequest(self, GB_POOL_EVENT_GIVE_UP, OPENING_TRIED_MS,
+                           request);
 }
 
 static struct GbPoolSimSecond *
-second_of(struct GbPoolSim *self, const struct SimRequest *request)
+second_of(struct GbPoolSim *self, const struct GbPoolRequest *request)
 {
     return &self->seconds[request->first_ms / MS_PER_SECOND];
 }
 
 static void
-end_request(struct GbPoolSim *self, struct SimRequest *request)
+end_request(struct GbPoolSim *self, struct GbPoolRequest *request)
 {
     request->is_over = true;
     g_hash_table_remove(self->requests, &request->key);
 }
 
 static void
-fail_try(struct GbPoolSim *self, struct SimRequest *request)
+fail_try(struct GbPoolSim *self, struct GbPoolRequest *request)
 {
     g_hash_table_remove(self->requests, &request->key);
     if (request->tries == RETRIES_MAX) {
@@ -308,13 +228,14 @@
         return;
     }
     request->tries++;
-    add_request_event(self, EVENT_RETRY, WAY_MS, request);
+    GbPoolEvent_AddRequest(self, GB_POOL_EVENT_RETRY, GB_POOL_SIM_WAY_MS,
+                           request);
 }
 
 static void
 take_reply(struct GbPoolSim *self, const struct GbPacket *packet)
 {
-    struct SimRequest *request =
+    struct GbPoolRequest *request =
         g_hash_table_lookup(self->requests, &packet->key);
 
     if (request == NULL) {
@@ -341,7 +262,7 @@
 static void
 take_reset(struct GbPoolSim *self, const struct GbPacket *packet)
 {
-    struct SimRequest *request =
+    struct GbPoolRequest *request =
         g_hash_table_lookup(self->requests, &packet->key);
 
     if (request != NULL) {
@@ -350,14 +271,14 @@
 }
 
 static void
-take_request_event(struct GbPoolSim *self, const struct SimEvent *event)
+take_request_event(struct GbPoolSim *self, const struct GbPoolEvent *event)
 {
-    struct SimRequest *request = event->request;
+    struct GbPoolRequest *request = event->request;
 
     if (request->is_over) {
         return;
     }
-    if (event->kind == EVENT_DEADLINE) {
+    if (event->kind == GB_POOL_EVENT_DEADLINE) {
         second_of(self, request)->failed++;
         end_request(self, request);
         return;
@@ -365,11 +286,11 @@
     if (event->try != request->tries) {
         return;
     }
-    if (event->kind == EVENT_RETRY) {
+    if (event->kind == GB_POOL_EVENT_RETRY) {
         start_try(self, request);
     }
     else if (!request->is_open) {
-        if (event->kind == EVENT_COPY) {
+        if (event->kind == GB_POOL_EVENT_COPY) {
             send_packet(self, request, GB_PACKET_SYN, event->copy, 0);
         }
         else {
@@ -379,27 +300,27 @@
 }
 
 static void
-take_event(struct GbPoolSim *self, struct SimEvent *event)
+take_event(struct GbPoolSim *self, struct GbPoolEvent *event)
 {
     struct GbPoolSimMember *member = &self->members[event->member];
 
     switch (event->kind) {
-    case EVENT_PACKET:
+    case GB_POOL_EVENT_PACKET:
         GbFlowAgent_Receive(&member->agent, event->from_ipv4, &event->packet);
         break;
-    case EVENT_NOTICE:
+    case GB_POOL_EVENT_NOTICE:
         GbFlowAgent_Heard(&member->agent, event->from_ipv4, &event->notice);
         break;
-    case EVENT_REPLY:
+    case GB_POOL_EVENT_REPLY:
         take_reply(self, &event->packet);
         break;
-    case EVENT_RESET:
+    case GB_POOL_EVENT_RESET:
         take_reset(self, &event->packet);
         break;
-    case EVENT_ACCEPTED:
+    case GB_POOL_EVENT_ACCEPTED:
         GbFlowAgent_FromTarget(&member->agent, &event->packet);
         break;
-    case EVENT_WORK_DONE:
+    case GB_POOL_EVENT_WORK_DONE:
         member->running--;
         GbFlowAgent_FromTarget(&member->agent, &event->packet);
         start_work(member);
@@ -419,7 +340,7 @@
     GSequenceIter *first = g_sequence_get_begin_iter(self->events);
 
     while (!g_sequence_iter_is_end(first)) {
-        struct SimEvent *event = g_sequence_get(first);
+        struct GbPoolEvent *event = g_sequence_get(first);
 
         if (event->due_ms > self->now_ms) {
             break;
@@ -439,13 +360,13 @@
                   load_percent / PERCENT / WORK_MS;
 
     while (g_rand_double(self->random) < rate / (rate + 1)) {
-        struct SimRequest *request = g_new0(struct SimRequest, 1);
+        struct GbPoolRequest *request = g_new0(struct GbPoolRequest, 1);
 
         request->client = g_rand_int_range(self->random, 0, 200);
         request->first_ms = self->now_ms;
         second_of(self, request)->sent++;
-        add_request_event(self, EVENT_DEADLINE, GB_POOL_SIM_DEADLINE_MS,
-                          request);
+        GbPoolEvent_AddRequest(self, GB_POOL_EVENT_DEADLINE,
+                               GB_POOL_SIM_DEADLINE_MS, request);
         start_try(self, request);
     }
 }
--- a/tests/support/flow_pool_simulation.h
+++ b/tests/support/flow_pool_simulation.h
@@ -28,7 +28,7 @@
     struct GbPoolSim *sim;
     uint32_t index;
     struct GbFlowAgent agent;
-    /* Struct SimWork that waits for a slot, and work in slots. */
+    /* Struct GbFlowKey of requests that wait for a slot. */
     GQueue waiting;
     uint32_t running;
     /* Time of work, in percent of the usual one. */
@@ -44,9 +44,9 @@
     struct GbManualClock clock;
     struct GbCounters counters;
     struct GbPoolSimMember members[GB_POOL_SIM_AGENTS];
-    /* Struct SimEvent by due time. */
+    /* Struct GbPoolEvent by due time. */
     GSequence *events;
-    /* Struct SimRequest by flow key of its present try. */
+    /* Struct GbPoolRequest by flow key of its present try. */
     GHashTable *requests;
     GRand *random;
     uint32_t next_port;
