Hash flow keys from bytes in a fixed order

Cause: on arm64 the inlined xxhash reads its input through a packed union of 32 and 64 bits. Balancers that hash one client differently disagree on the agent of first rank.

The other users call the library, which is compiled apart from them.

--- a/src/coordination/placement/placement.c
+++ b/src/coordination/placement/placement.c
@@ -3,9 +3,8 @@
 #include <glib.h>
 #include <math.h>
 #include <string.h>
-/* Hashing 8 bytes inline costs less than a call into the library. */
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+
+#include "state/xxhash_inline.h"
 
 #define MANTISSA_BITS 53
 
@@ -25,7 +24,8 @@
 init_ranked(struct RankedInstance *self, const struct GbInstance *instance,
             uint64_t flow_id)
 {
-    uint64_t hash = XXH64(&flow_id, sizeof(flow_id), instance->id);
+    uint64_t bytes = GUINT64_TO_LE(flow_id);
+    uint64_t hash = XXH64(&bytes, sizeof(bytes), instance->id);
 
     self->instance = instance;
     self->uniform = ((double)(hash >> (64 - MANTISSA_BITS)) + 0.5) /
--- a/src/state/packet.c
+++ b/src/state/packet.c
@@ -2,9 +2,19 @@
 
 #include <stdio.h>
 #include <string.h>
-/* Inlined: hashing 12 bytes takes less time than a library call. */
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+
+#include "state/xxhash_inline.h"
+
+#define KEY_BYTES 12
+
+static uint8_t *
+append_little_endian(uint8_t *at, uint32_t value, uint32_t size_bytes)
+{
+    for (uint32_t i = 0; i < size_bytes; i++) {
+        *at++ = (uint8_t)(value >> (8 * i));
+    }
+    return at;
+}
 
 bool
 GbFlowKey_Equal(const struct GbFlowKey *a, const struct GbFlowKey *b)
@@ -18,7 +28,15 @@
 uint64_t
 GbFlowKey_Hash(const struct GbFlowKey *self)
 {
-    return XXH64(self, sizeof(*self), 0);
+    /* Processes compare these hashes, so the bytes have a fixed order. */
+    uint8_t bytes[KEY_BYTES];
+    uint8_t *at = bytes;
+
+    at = append_little_endian(at, self->client_ipv4, sizeof(uint32_t));
+    at = append_little_endian(at, self->service_ipv4, sizeof(uint32_t));
+    at = append_little_endian(at, self->client_port, sizeof(uint16_t));
+    append_little_endian(at, self->service_port, sizeof(uint16_t));
+    return XXH64(bytes, sizeof(bytes), 0);
 }
 
 uint64_t
