Keep following the list of hosts when an entry of another writer is odd

Report: one odd entry (deeply nested, a number too large, a port out of range) ended the processes that read the list, or kept them from following it.

Cause, found by the new cases of test_odd_entries, each of which fails without its part of the change: - A reply to a watch larger than 4 MB, which a few large entries make, was requested again for ever. A watch whose reply cannot be read is now followed by a new list, whose pages have a limited size. - The JSON parser recurses to 2,048 levels, which take 128 to 256 KB of stack; a system with a smaller default stack ends the process (seen with 128 KB). Tasks now have a stack of 1 MB. - A key of more than 71 bytes gave an instance one id in processes that read the store and another in those that read from peers, whose entry then outlived its removal. Long names now end with a hash of the whole. - An address with port 0, a value with a NUL byte, a value that is not base64, duplicate fields, and unspecified, multicast and broadcast addresses named an instance. They name none now. - A page of items without keys was requested again without delay, and a key shorter than the prefix was read beyond its end. - A key with control characters broke a log line in two.

Ruled out: nesting beyond 2,048 levels, numbers beyond 64 bits or a double and ports out of range; the entry was refused before, and the others held.

--- a/Makefile
+++ b/Makefile
@@ -66,21 +66,31 @@
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_agent
 	$(BUILD)/bench_capacity_platform
 
-# Fuzzes the datagram decoders with libFuzzer and sanitizers. Not part of CI.
+FUZZ_FLAGS = -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
+	-fno-sanitize-recover=all -Isrc -Itests -Iplatform -D_GNU_SOURCE \
+	-DGB_VERSION='"fuzz"'
+FUZZ_PACKAGES = glib-2.0 libsodium libxxhash msgpack jansson
+FUZZ_SOURCES = src/state/*.c src/coordination/*/*.c src/protocol/*.c
+FUZZ_RUN = -artifact_prefix=$(BUILD)-fuzz/ -max_total_time=$(FUZZ_SECONDS)
+
+# Fuzzes the datagram decoders, and the readers of the store's values and of
+# settings, with libFuzzer and sanitizers. Needs libclang-rt-14-dev. Not part
+# of CI.
 fuzz: deps
-	mkdir -p $(BUILD)-fuzz
-	clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
-	  -fno-sanitize-recover=all -Isrc -Itests -D_GNU_SOURCE -DGB_VERSION='"fuzz"' \
-	  $$(pkg-config --cflags glib-2.0 libsodium libxxhash msgpack jansson) \
+	mkdir -p $(BUILD)-fuzz/store_item
+	clang $(FUZZ_FLAGS) $$(pkg-config --cflags $(FUZZ_PACKAGES)) \
 	  tests/fuzz/fuzz_datagram.c \
 	  $(addprefix tests/support/,fleet.c datagram_injection.c sample_messages.c \
-	    endpoint_fixture.c) src/state/*.c \
-	  src/coordination/*/*.c \
-	  src/protocol/*.c \
+	    endpoint_fixture.c) $(FUZZ_SOURCES) \
 	  -o $(BUILD)-fuzz/fuzz_datagram \
-	  $$(pkg-config --libs glib-2.0 libsodium libxxhash msgpack jansson) -lm
-	$(BUILD)-fuzz/fuzz_datagram -artifact_prefix=$(BUILD)-fuzz/ \
-	  -max_total_time=$(FUZZ_SECONDS) -max_len=2048
+	  $$(pkg-config --libs $(FUZZ_PACKAGES)) -lm
+	clang $(FUZZ_FLAGS) $$(pkg-config --cflags $(FUZZ_PACKAGES)) \
+	  tests/fuzz/fuzz_store_item.c platform/store_item.c platform/node_file.c \
+	  $(FUZZ_SOURCES) -o $(BUILD)-fuzz/fuzz_store_item \
+	  $$(pkg-config --libs $(FUZZ_PACKAGES)) -lm
+	$(BUILD)-fuzz/fuzz_datagram $(FUZZ_RUN) -max_len=2048
+	$(BUILD)-fuzz/fuzz_store_item $(FUZZ_RUN) -max_len=16384 \
+	  $(BUILD)-fuzz/store_item tests/fuzz/store_item
 
 bench-policy: build
 	$(BUILD)/bench_policy
--- a/src/programs/command_check.c
+++ b/src/programs/command_check.c
@@ -111,12 +111,13 @@
     GString *errors = g_string_new(NULL);
     struct GbRouteTable *routes = NULL;
     gchar *text = NULL;
+    gsize size_bytes;
 
-    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+    if (!g_file_get_contents(path, &text, &size_bytes, NULL)) {
         g_string_append_printf(errors, "%s: cannot read %s\n", PROGRAM, path);
     }
-    else if (GbStoreItem_ParseRoutes(text, &routes, errors) ==
-             GB_PLATFORM_OK) {
+    else if (GbStoreItem_ParseRoutes((const uint8_t *)text, size_bytes,
+                                     &routes, errors) == GB_PLATFORM_OK) {
         printf("valid version=%" PRIu64 " routes=%" PRIu32 "\n",
                routes->version, routes->count);
         GbRouteTable_Unref(routes);
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -115,6 +115,9 @@
     [GB_COUNTER_INSTANCE_LISTS_REFUSED] =
         {"instance_lists_refused_total",
          "Instance lists refused as older or as empty."},
+    [GB_COUNTER_INSTANCES_UNUSABLE] =
+        {"instances_unusable_total",
+         "Entries of the instance list that name no usable instance."},
     [GB_COUNTER_PEER_PULLS] = {"peer_pulls_total",
                                "Document pulls from other processes."},
     [GB_COUNTER_PEER_PULL_FAILURES] = {"peer_pull_failures_total",
--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -1,5 +1,6 @@
 #include "transport/log.h"
 
+#include <ctype.h>
 #include <inttypes.h>
 #include <log4c.h>
 #include <poll.h>
@@ -143,6 +144,17 @@
     log4c_fini();
 }
 
+/* One event is one line, whatever the texts from outside in it contain. */
+static void
+replace_control_characters(char *line)
+{
+    for (; *line != '\0'; line++) {
+        if (iscntrl((unsigned char)*line)) {
+            *line = '?';
+        }
+    }
+}
+
 void
 GbLog_Event(enum GbLogLevel level, const char *event, const char *format, ...)
 {
@@ -158,5 +170,6 @@
     va_start(arguments, format);
     vsnprintf(line + used, sizeof(line) - (size_t)used, format, arguments);
     va_end(arguments);
+    replace_control_characters(line);
     log4c_category_log(category, priorities[level], "%s", line);
 }
--- a/src/transport/platform_client.c
+++ b/src/transport/platform_client.c
@@ -11,6 +11,7 @@
     struct GbPlatformClient *client;
     struct evhttp_connection *connection;
     struct GbPlatformReplyHandler *handler;
+    bool is_too_large;
 };
 
 static void
@@ -37,6 +38,15 @@
     }
 }
 
+/* Runs before request_done. */
+static void
+request_failed(enum evhttp_request_error error, void *context)
+{
+    struct Call *call = context;
+
+    call->is_too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+}
+
 static void
 request_done(struct evhttp_request *request, void *context)
 {
@@ -48,6 +58,9 @@
         status != 0 ? evhttp_request_get_input_buffer(request) : NULL;
     size_t size_bytes = body != NULL ? evbuffer_get_length(body) : 0;
 
+    if (call->is_too_large) {
+        status = GB_PLATFORM_REPLY_TOO_LARGE;
+    }
     call->handler->completed(call->handler, status,
                              body != NULL ? evbuffer_pullup(body, -1) : NULL,
                              size_bytes);
@@ -97,6 +110,7 @@
     evhttp_connection_set_max_body_size(call->connection,
                                         (ev_ssize_t)max_bytes);
     g_hash_table_add(self->calls, call);
+    evhttp_request_set_error_cb(request, request_failed);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                       "platform");
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
--- a/src/transport/platform_client.h
+++ b/src/transport/platform_client.h
@@ -10,12 +10,15 @@
 
 #define GB_PLATFORM_BODY_BYTES_MAX (4 * 1024 * 1024)
 
+/* Status of a call whose response is larger than its limit. */
+#define GB_PLATFORM_REPLY_TOO_LARGE (-1)
+
 struct GbPlatformReplyHandler;
 
 /* Receives the result of one call. */
 struct GbPlatformReplyHandler {
-    /* status is the HTTP status, or 0 if there was no response. data is valid
-     * only during the call. */
+    /* status is the HTTP status, GB_PLATFORM_REPLY_TOO_LARGE, or 0 if there
+     * was no response. data is valid only during the call. */
     void (*completed)(struct GbPlatformReplyHandler *self, int status,
                       const uint8_t *data, size_t size_bytes);
 };
@@ -40,7 +43,7 @@
 
 /* Sends a GET request for a path. The handler is called once, at the latest
  * when no data has arrived for timeout_ms. A body of more than max_bytes
- * counts as a failure. */
+ * is discarded. */
 void GbPlatformClient_Get(struct GbPlatformClient *self, const char *path,
                           uint32_t timeout_ms, size_t max_bytes,
                           struct GbPlatformReplyHandler *handler);
--- a/src/transport/task.c
+++ b/src/transport/task.c
@@ -135,8 +135,13 @@
 enum GbTransportStatus
 GbTask_Start(struct GbTask *self, struct GbErrorText *error)
 {
-    int code = pthread_create(&self->thread, NULL, run_loop, self);
+    pthread_attr_t attributes;
+    int code;
 
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, GB_TASK_STACK_BYTES);
+    code = pthread_create(&self->thread, &attributes, run_loop, self);
+    pthread_attr_destroy(&attributes);
     if (code != 0) {
         GbErrorText_Set(error, "task %s: cannot create thread: %s",
                         self->klass->name, strerror(code));
--- a/src/transport/task.h
+++ b/src/transport/task.h
@@ -11,6 +11,11 @@
 #include "state/error_text.h"
 #include "transport/status.h"
 
+/* Stack of a task's thread. The JSON parser recurses: at its limit of 2,048
+ * levels it takes between 128 and 256 KB, and the system's default stack size
+ * may be less. */
+#define GB_TASK_STACK_BYTES (1024 * 1024)
+
 struct GbTaskMessage;
 struct GbTask;
 
--- a/tests/support/fake_store.c
+++ b/tests/support/fake_store.c
@@ -38,19 +38,85 @@
     g_free(encoded);
 }
 
+static void
+append_raw_item(GString *body, const char *key, const char *raw_value)
+{
+    g_string_append_printf(
+        body, "{\"key\":\"%s\",\"value\":%s,\"revision\":1}", key, raw_value);
+}
+
+static void
+append_list_item(GString *body, const struct GbFakeItem *item)
+{
+    gchar *encoded;
+    GString *value;
+
+    if (item->raw_value != NULL) {
+        append_raw_item(body, item->key, item->raw_value);
+        return;
+    }
+    encoded = g_base64_encode((const guchar *)item->value, item->size_bytes);
+    value = g_string_new(NULL);
+    g_string_append_printf(value, "\"%s\"", encoded);
+    append_raw_item(body, item->key, value->str);
+    g_string_free(value, TRUE);
+    g_free(encoded);
+}
+
+/* Returns the index of the first item after the key of the query. */
+static uint32_t
+first_item_of_page(const struct GbFakeStore *self, const char *after)
+{
+    uint32_t at = 0;
+
+    while (after != NULL && at < self->item_count &&
+           strcmp(self->items[at].key, after) <= 0) {
+        at++;
+    }
+    return at;
+}
+
+static char *
+query_text(struct evhttp_request *request, const char *name)
+{
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    struct evkeyvalq values;
+    char *text;
+
+    evhttp_parse_query_str(query, &values);
+    text = g_strdup(evhttp_find_header(&values, name));
+    evhttp_clear_headers(&values);
+    return text;
+}
+
 static void
 reply_list(struct GbFakeStore *self, struct evhttp_request *request,
            GString *body)
 {
+    char *after = query_text(request, "after");
+    uint32_t first = first_item_of_page(self, after);
+    uint32_t end = self->item_count;
+
+    if (self->page_items > 0) {
+        end = MIN(end, first + self->page_items);
+    }
     self->list_reads++;
     g_string_append(body, "{\"items\":[");
-    if (self->host_key != NULL) {
+    if (self->host_key != NULL && after == NULL) {
         append_item(body, self->host_key, self->host_value, 1);
     }
+    for (uint32_t i = first; i < end; i++) {
+        if (body->str[body->len - 1] != '[') {
+            g_string_append_c(body, ',');
+        }
+        append_list_item(body, &self->items[i]);
+    }
     g_string_append_printf(
-        body, "],\"hasMore\":false,\"storeRevision\":%" PRIu64 "}",
-        self->revision);
+        body, "],\"hasMore\":%s,\"storeRevision\":%" PRIu64 "}",
+        end < self->item_count ? "true" : "false", self->revision);
     send_reply(request, self->read_status, body);
+    g_free(after);
 }
 
 static void
@@ -72,16 +138,10 @@
 static uint64_t
 query_number(struct evhttp_request *request, const char *name)
 {
-    const char *query =
-        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
-    struct evkeyvalq values;
-    const char *text;
-    uint64_t number;
+    char *text = query_text(request, name);
+    uint64_t number = text != NULL ? strtoull(text, NULL, 10) : 0;
 
-    evhttp_parse_query_str(query, &values);
-    text = evhttp_find_header(&values, name);
-    number = text != NULL ? strtoull(text, NULL, 10) : 0;
-    evhttp_clear_headers(&values);
+    g_free(text);
     return number;
 }
 
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -20,6 +20,16 @@
     const char *value;
 };
 
+/* Item of a list after the host entry. */
+struct GbFakeItem {
+    const char *key;
+    /* May contain any bytes. */
+    const char *value;
+    size_t size_bytes;
+    /* Sent as it is in place of an encoded value; may be NULL. */
+    const char *raw_value;
+};
+
 /* HTTP server on loopback in place of the platform's store, with one host
  * entry, one configuration and scripted replies to watches. */
 struct GbFakeStore {
@@ -28,6 +38,11 @@
     const char *host_key;
     const char *host_value;
     const char *config_value;
+    /* More items of the list, in the order of their keys, of which each page
+     * has page_items; 0 for one page. */
+    const struct GbFakeItem *items;
+    uint32_t item_count;
+    uint32_t page_items;
     /* Revision of the last change, and of the configuration. */
     uint64_t revision;
     uint64_t config_revision;
--- a/tests/test_node_file.c
+++ b/tests/test_node_file.c
@@ -44,6 +44,13 @@
      GB_PLATFORM_MALFORMED, "portRange"},
     {"port out of range", "7735", "77350", false, GB_PLATFORM_MALFORMED,
      "portRange"},
+    {"port beyond 64 bits", "7735", "99999999999999999999999", false,
+     GB_PLATFORM_MALFORMED, "invalid JSON: too big integer"},
+    {"port beyond a double", "7735", "1e999", false, GB_PLATFORM_MALFORMED,
+     "invalid JSON: real number overflow"},
+    {"port of an address out of range", "10.1.0.10:8167",
+     "10.1.0.10:99999999999", false, GB_PLATFORM_MALFORMED,
+     "listen.ready: malformed"},
     {"malformed seed", "10.2.0.40:8166", "seed", false, GB_PLATFORM_MALFORMED,
      "seeds[1]: malformed"},
 };
