Probe the targets of agents that cannot tell whether they have a flow

For 6 s after its start an agent replies that it cannot tell whether its target has a flow, as the target may have kept running. After an outage of all no agent can tell, lookups had no certain result, and clients that went on with a flow from before got neither an answer nor a reset: no line "lost" between 36 and 41.5 s.

Change: the packet of the client goes, marked as a probe, to all agents that cannot tell. Their targets accept it, and the agent that sees its target reply names itself as the owner; or return it, and the agent replies that it does not have the flow. When all are certain, the client is reset and comes back from a new port. Before, one of these agents got the packet, and it looked the flow up again, up to four times.

Ruled out: deciding by the time at which a target says that it started (the time of day may jump, and a wrong reset breaks an open flow); a shorter time of doubt (idle flows would be reset).

test_balancer_joins_and_flows_move expected one forwarded packet when two agents cannot tell; it now expects one for each, which is stricter. New tests: flow-location all-agents-restarted and probe-of-own-target.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -124,6 +124,10 @@
         return;
     }
     GbTargetMonitor_RecordReply(&self->target_monitor);
+    if (packet->hops == GB_FLOW_HOPS_PROBE) {
+        GbFlowLocation_ReportReturnedProbe(self, packet);
+        return;
+    }
     flow = GbPacketFlowTable_Find(&self->flows, &packet->key);
     if (flow != NULL && flow->state == GB_PACKET_FLOW_REMOTE) {
         GbFlowAdmission_ForwardToAgent(self, packet, flow->owner_ipv4, 0);
@@ -168,6 +172,7 @@
     GbFlowAgent_RecordDecision(self, GB_FLOW_DECISION_ADOPTED, &packet->key,
                                self->config.own_ipv4, self->in_flight,
                                GbFlowLoad_OwnSlots(self));
+    GbFlowLocation_ReportAdoptedFlow(self, &packet->key);
     return flow;
 }
 
@@ -250,6 +255,7 @@
     GbPacketFlowTable_Init(&self->flows, config->flow_limit);
     GbFlowPool_Init(&self->pool);
     GbFlowLookups_Init(&self->lookups);
+    GbFlowProbes_Init(&self->probes);
     GbTargetMonitor_Init(&self->target_monitor);
     GbFlowOutcomes_Init(&self->outcomes);
     GbFlowQueue_Init(&self->queue);
@@ -314,7 +320,10 @@
         GbFlowLoad_RecordBalancer(self, balancer_ipv4, now_us);
     }
     flow = GbPacketFlowTable_Find(&self->flows, &packet->key);
-    if (!GbPacket_IsSyn(packet)) {
+    if (packet->hops == GB_FLOW_HOPS_PROBE) {
+        GbFlowLocation_ReceiveProbe(self, from_ipv4, packet, flow);
+    }
+    else if (!GbPacket_IsSyn(packet)) {
         receive_non_syn(self, packet, flow, balancer_ipv4);
     }
     else if (GbFlowQueue_Find(&self->queue, &packet->key) != NULL) {
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -4,6 +4,7 @@
 #include "coordination/flows/flow_lookup.h"
 #include "coordination/flows/flow_outcomes.h"
 #include "coordination/flows/flow_pool.h"
+#include "coordination/flows/flow_probes.h"
 #include "coordination/flows/flow_queue.h"
 #include "coordination/flows/packet_port.h"
 #include "coordination/flows/recent_refusals.h"
@@ -16,6 +17,9 @@
 
 /* A packet that this many agents have forwarded is not forwarded again. */
 #define GB_FLOW_HOPS_MAX 4
+/* Number of hops of a probe: a packet that another agent sends to learn
+ * whether this agent's target has the flow. It is not forwarded. */
+#define GB_FLOW_HOPS_PROBE 7
 
 #define GB_FLOW_BALANCERS_MAX 64
 
@@ -48,6 +52,7 @@
     struct GbPacketFlowTable flows;
     struct GbFlowPool pool;
     struct GbFlowLookups lookups;
+    struct GbFlowProbes probes;
     struct GbTargetMonitor target_monitor;
     struct GbFlowOutcomes outcomes;
     struct GbFlowQueue queue;
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -8,8 +8,6 @@
 /* After this time, an agent that restarted while its target kept running has
  * seen a packet of each active flow. */
 #define ADOPTION_MAX_US INT64_C(6000000)
-/* Maximum number of agents that one lookup queries. */
-#define QUERIED_MAX 256
 
 /* Only listed processes may name the owner of a flow, or be named as it. */
 static bool
@@ -49,6 +47,9 @@
 forward_and_close(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
                   uint32_t owner_ipv4)
 {
+    if (lookup->is_probing) {
+        lookup->packet.hops = 0;
+    }
     GbFlowAdmission_ForwardToAgent(self, &lookup->packet, owner_ipv4,
                                    lookup->balancer_ipv4);
     GbFlowLookups_Close(&self->lookups, lookup);
@@ -58,7 +59,7 @@
 fail_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
 {
     bool is_certain = lookup->not_owned_count == lookup->queried_count &&
-                      lookup->queried_count < QUERIED_MAX;
+                      lookup->queried_count < GB_FLOW_LOOKUP_AGENTS_MAX;
 
     GbCounters_Add(self->counters, GB_COUNTER_FLOWS_NOT_LOCATED, 1);
     if (is_certain && (lookup->packet.flags & GB_PACKET_RST) == 0) {
@@ -70,10 +71,26 @@
 }
 
 static void
-end_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
+start_probes(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+             int64_t now_us)
+{
+    lookup->is_probing = true;
+    lookup->deadline_us = now_us + LOOKUP_TIMEOUT_US;
+    lookup->packet.hops = GB_FLOW_HOPS_PROBE;
+    lookup->packet.service_id = self->config.service_id;
+    for (uint32_t i = 0; i < lookup->unsure_count; i++) {
+        GbCounters_Add(self->counters, GB_COUNTER_FLOW_PROBES_SENT, 1);
+        self->port->klass->forward(self->port, &lookup->packet,
+                                   lookup->unsure_ipv4[i]);
+    }
+}
+
+static void
+end_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+           int64_t now_us)
 {
-    if (lookup->possible_owner_ipv4 != 0) {
-        forward_and_close(self, lookup, lookup->possible_owner_ipv4);
+    if (lookup->unsure_count > 0 && !lookup->is_probing) {
+        start_probes(self, lookup, now_us);
         return;
     }
     fail_lookup(self, lookup);
@@ -98,7 +115,7 @@
             instance->address.ipv4 == self->config.own_ipv4) {
             continue;
         }
-        if (queried == QUERIED_MAX) {
+        if (queried == GB_FLOW_LOOKUP_AGENTS_MAX) {
             GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_PARTIAL, 1);
             break;
         }
@@ -129,7 +146,60 @@
     lookup->balancer_ipv4 = balancer_ipv4;
     lookup->queried_count = query_agents(self, &packet->key);
     if (lookup->queried_count == 0) {
-        end_lookup(self, lookup);
+        end_lookup(self, lookup, now_us);
+    }
+}
+
+static void
+notify_owner(struct GbFlowAgent *self, const struct GbFlowKey *key,
+             uint32_t owner_ipv4, uint32_t to_ipv4)
+{
+    struct GbFlowNotice notice = {
+        .kind = GB_FLOW_NOTICE_OWNER, .key = *key, .owner_ipv4 = owner_ipv4};
+
+    notice.service_id = self->config.service_id;
+    self->port->klass->notify(self->port, &notice, to_ipv4);
+}
+
+void
+GbFlowLocation_ReceiveProbe(struct GbFlowAgent *self, uint32_t from_ipv4,
+                            struct GbPacket *packet,
+                            const struct GbPacketFlow *flow)
+{
+    if (flow != NULL) {
+        notify_owner(self, &packet->key,
+                     flow->state == GB_PACKET_FLOW_REMOTE
+                         ? flow->owner_ipv4
+                         : self->config.own_ipv4,
+                     from_ipv4);
+        return;
+    }
+    GbFlowProbes_Add(&self->probes, &packet->key, from_ipv4);
+    GbFlowAgent_DeliverToTarget(self, packet);
+}
+
+void
+GbFlowLocation_ReportReturnedProbe(struct GbFlowAgent *self,
+                                   const struct GbPacket *packet)
+{
+    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_NOT_OWNER,
+                                  .key = packet->key};
+    uint32_t from_ipv4 = GbFlowProbes_Take(&self->probes, &packet->key);
+
+    if (from_ipv4 != 0) {
+        notice.service_id = self->config.service_id;
+        self->port->klass->notify(self->port, &notice, from_ipv4);
+    }
+}
+
+void
+GbFlowLocation_ReportAdoptedFlow(struct GbFlowAgent *self,
+                                 const struct GbFlowKey *key)
+{
+    uint32_t from_ipv4 = GbFlowProbes_Take(&self->probes, key);
+
+    if (from_ipv4 != 0) {
+        notify_owner(self, key, self->config.own_ipv4, from_ipv4);
     }
 }
 
@@ -158,6 +228,24 @@
     self->port->klass->notify(self->port, &reply, from_ipv4);
 }
 
+static void
+record_unsure(struct GbFlowLookup *lookup, uint32_t ipv4)
+{
+    if (!lookup->is_probing &&
+        lookup->unsure_count < GB_FLOW_LOOKUP_AGENTS_MAX) {
+        lookup->unsure_ipv4[lookup->unsure_count++] = ipv4;
+    }
+}
+
+/* Agents that are probed reply a second time. */
+static bool
+have_all_replied(const struct GbFlowLookup *lookup)
+{
+    uint32_t unsure_count = lookup->is_probing ? 0 : lookup->unsure_count;
+
+    return lookup->not_owned_count + unsure_count >= lookup->queried_count;
+}
+
 void
 GbFlowLocation_ReceiveReply(struct GbFlowAgent *self, uint32_t from_ipv4,
                             const struct GbFlowNotice *notice)
@@ -184,14 +272,14 @@
         forward_and_close(self, lookup, notice->owner_ipv4);
         return;
     case GB_FLOW_NOTICE_OWNER_UNKNOWN:
-        lookup->possible_owner_ipv4 = from_ipv4;
+        record_unsure(lookup, from_ipv4);
         break;
     default:
         lookup->not_owned_count++;
         break;
     }
-    if (lookup->not_owned_count == lookup->queried_count) {
-        end_lookup(self, lookup);
+    if (have_all_replied(lookup)) {
+        end_lookup(self, lookup, now_us);
     }
 }
 
@@ -202,6 +290,6 @@
 
     while ((lookup = GbFlowLookups_FindExpired(&self->lookups, now_us)) !=
            NULL) {
-        end_lookup(self, lookup);
+        end_lookup(self, lookup, now_us);
     }
 }
--- a/src/coordination/flows/flow_location.h
+++ b/src/coordination/flows/flow_location.h
@@ -4,7 +4,13 @@
 #include "coordination/flows/flow_agent_state.h"
 
 /* Keeps a packet of a flow that the own target does not have, and queries the
- * agents of the service for its owner. balancer_ipv4 is 0 if unknown. */
+ * agents of the service for its owner. Agents that cannot tell, because they
+ * started after flows were opened at their targets, are probed: they get the
+ * packet, and their target accepts or returns it. If nobody has the flow, the
+ * client is reset. balancer_ipv4 is 0 if unknown.
+ *
+ * Handles an outage of many or all processes, after which no agent knows which
+ * flows its target still has and clients wait on flows that are lost. */
 void GbFlowLocation_StartLookup(struct GbFlowAgent *self,
                                 struct GbPacket *packet,
                                 uint32_t balancer_ipv4);
@@ -17,6 +23,21 @@
 void GbFlowLocation_ReceiveReply(struct GbFlowAgent *self, uint32_t from_ipv4,
                                  const struct GbFlowNotice *notice);
 
+/* Handles a probe from another agent. flow is the one in the own table, or
+ * NULL. */
+void GbFlowLocation_ReceiveProbe(struct GbFlowAgent *self, uint32_t from_ipv4,
+                                 struct GbPacket *packet,
+                                 const struct GbPacketFlow *flow);
+
+/* Tells the sender of a probe that the own target has returned it. */
+void GbFlowLocation_ReportReturnedProbe(struct GbFlowAgent *self,
+                                        const struct GbPacket *packet);
+
+/* Tells the sender of a probe, if there is one, that the own target has the
+ * flow. */
+void GbFlowLocation_ReportAdoptedFlow(struct GbFlowAgent *self,
+                                      const struct GbFlowKey *key);
+
 /* Ends the lookups whose deadline has passed. */
 void GbFlowLocation_Tick(struct GbFlowAgent *self, int64_t now_us);
 
--- a/src/coordination/flows/flow_lookup.c
+++ b/src/coordination/flows/flow_lookup.c
@@ -58,7 +58,8 @@
     lookup->balancer_ipv4 = 0;
     lookup->queried_count = 0;
     lookup->not_owned_count = 0;
-    lookup->possible_owner_ipv4 = 0;
+    lookup->unsure_count = 0;
+    lookup->is_probing = false;
     lookup->deadline_us = deadline_us;
     self->open_count++;
     return lookup;
--- a/src/coordination/flows/flow_lookup.h
+++ b/src/coordination/flows/flow_lookup.h
@@ -5,6 +5,8 @@
 
 /* Maximum number of open lookups. */
 #define GB_FLOW_LOOKUPS_MAX 32
+/* Maximum number of agents that one lookup queries. */
+#define GB_FLOW_LOOKUP_AGENTS_MAX 256
 #define GB_FLOW_LOOKUP_PACKET_BYTES 1280
 
 /* Packet of a flow that this agent does not own, kept while the other agents
@@ -17,9 +19,12 @@
     /* Agents queried, and those that replied that they do not own the flow. */
     uint32_t queried_count;
     uint32_t not_owned_count;
-    /* Agent whose flow table may be incomplete because it started recently; 0
-     * if none. */
-    uint32_t possible_owner_ipv4;
+    /* Agents whose flow tables may be incomplete because they started
+     * recently. */
+    uint32_t unsure_ipv4[GB_FLOW_LOOKUP_AGENTS_MAX];
+    uint32_t unsure_count;
+    /* The packet was sent to the targets of these agents. */
+    bool is_probing;
     /* Monotonic time at which the lookup ends. */
     int64_t deadline_us;
 };
--- a/src/coordination/flows/view_gossip.c
+++ b/src/coordination/flows/view_gossip.c
@@ -277,8 +277,6 @@
     self->next_round_us = now_us + PERIOD_US;
     self->replies_left = REPLIES_MAX;
     remove_idle_peers(self, now_us);
-    if (GbViewStartup_ShouldAnnounce(&self->startup, now_us)) {
-        announce_to_random(self, PERIOD_FANOUT);
-    }
+    announce_to_random(self, PERIOD_FANOUT);
     update_reading(self, now_us);
 }
--- a/src/coordination/flows/view_startup.c
+++ b/src/coordination/flows/view_startup.c
@@ -7,13 +7,9 @@
 
 /* A seed with a view replies within a round trip, on a slow core within a few
  * milliseconds. */
-#define URGENT_READ_DELAY_US INT64_C(20000)
-/* Announcements reach all agents in a few steps of gossip. The range spreads
- * the load on seeds that have just started, too. */
-#define ANNOUNCE_DELAY_MIN_US INT64_C(300000)
-#define ANNOUNCE_DELAY_RANGE_US 300000
-#define READ_DELAY_MIN_US INT64_C(1200000)
-#define READ_DELAY_RANGE_US 1200000
+#define READ_DELAY_US INT64_C(20000)
+/* Hundreds of agents tell each other within a part of this time. */
+#define READ_DELAY_RANGE_US 200000
 /* Time that a pull from a peer may take before the platform is read, too. */
 #define PULL_PATIENCE_US INT64_C(100000)
 
@@ -28,23 +24,12 @@
                    int64_t now_us, struct GbRandom *random)
 {
     memset(self, 0, sizeof(*self));
-    self->announce_due_us = now_us;
-    self->read_due_us = now_us + URGENT_READ_DELAY_US;
+    self->read_due_us = now_us + READ_DELAY_US;
     if (!is_view_urgent) {
-        self->announce_due_us +=
-            ANNOUNCE_DELAY_MIN_US +
-            GbRandom_Below(random, ANNOUNCE_DELAY_RANGE_US);
-        self->read_due_us = now_us + READ_DELAY_MIN_US +
-                            GbRandom_Below(random, READ_DELAY_RANGE_US);
+        self->read_due_us += GbRandom_Below(random, READ_DELAY_RANGE_US);
     }
 }
 
-bool
-GbViewStartup_ShouldAnnounce(const struct GbViewStartup *self, int64_t now_us)
-{
-    return self->is_done || now_us >= self->announce_due_us;
-}
-
 bool
 GbViewStartup_ShouldRead(const struct GbViewStartup *self, bool is_pulling,
                          int64_t now_us)
--- a/src/coordination/flows/view_startup.h
+++ b/src/coordination/flows/view_startup.h
@@ -13,15 +13,13 @@
  * a few in turn. A peer sends a view for a fraction of what reading the
  * platform costs: the platform's lists are large, parsing them takes longer
  * than anything else on a slow core, and the rate of calls is limited for all
- * processes together. A balancer forwards nothing without a view, so it
- * announces itself to the seeds at once, and reads the platform unless one of
- * them replies soon. An agent serves its target without a view, and processes
- * that have one announce it to the agents in it. It waits for that, then
- * announces itself to the seeds, and reads the platform last. */
+ * processes together. A new process announces itself to the seeds and reads
+ * the platform unless one of them replies soon. A balancer, which forwards
+ * nothing without a view, waits only for a reply that is on its way. An agent,
+ * which serves its target without a view, waits for a random time: after an
+ * outage the first agents to read announce the view to the others. */
 struct GbViewStartup {
-    /* Monotonic times from which the process announces itself and reads the
-     * platform. */
-    int64_t announce_due_us;
+    /* Monotonic time at which the process reads the platform. */
     int64_t read_due_us;
     /* True once the process has a view, or has read the platform. */
     bool is_done;
@@ -31,10 +29,6 @@
 void GbViewStartup_Init(struct GbViewStartup *self, bool is_view_urgent,
                         int64_t now_us, struct GbRandom *random);
 
-/* Returns true if the process may announce itself. */
-bool GbViewStartup_ShouldAnnounce(const struct GbViewStartup *self,
-                                  int64_t now_us);
-
 /* Returns true if the platform is to be read now. A pull in progress delays
  * the read for a while. */
 bool GbViewStartup_ShouldRead(const struct GbViewStartup *self,
--- a/src/state/counters.c
+++ b/src/state/counters.c
@@ -186,6 +186,10 @@
          "Flows not recorded because the flow table was full."},
     [GB_COUNTER_FLOWS_LOCATED] = {"flows_located_total",
                                   "Flows found at another agent by a lookup."},
+    [GB_COUNTER_FLOW_PROBES_SENT] =
+        {"flow_probes_sent_total",
+         "Packets sent to agents that could not tell whether their target has "
+         "the flow."},
     [GB_COUNTER_FLOWS_NOT_LOCATED] = {"flows_not_located_total",
                                       "Flows that no agent held."},
     [GB_COUNTER_LOOKUPS_REFUSED] =
