Add make test-tsan, and tell ThreadSanitizer of messages between threads

Memory order between threads is weaker on arm64 than on x86-64. The first run under ThreadSanitizer reported races on messages and outcomes that pass through GLib queues, in five tests. Cause: GLib is not instrumented, so that the lock of a queue is not seen. Two macros name the hand-over; without ThreadSanitizer they do nothing. Ruled out: a race of our own (with the hand-over named, no report is left).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Duration of make fuzz.
 FUZZ_SECONDS ?= 20
 
-.PHONY: all deps build build-sanitize test scenarios fault-matrix demo soak bench \
+.PHONY: all deps build build-sanitize test test-tsan scenarios fault-matrix demo soak bench \
 	bench-policy bench-capacity fuzz format format-check lint layers clean
 
 all: build
@@ -25,6 +25,12 @@
 	cmake -S . -B $(BUILD)-sanitize -DGB_SANITIZE=ON >/dev/null
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
 
+# Not part of CI: the libraries are not instrumented, and the whole run is slow.
+test-tsan: deps
+	cmake -S . -B $(BUILD)-tsan -DGB_SANITIZE_THREAD=ON >/dev/null
+	cmake --build $(BUILD)-tsan -j $(JOBS)
+	tools/run-tests.sh $(BUILD)-tsan
+
 test: build build-sanitize
 	tools/run-tests.sh $(BUILD)
 	tools/run-tests.sh $(BUILD)-sanitize
--- a/src/transport/caller_task.c
+++ b/src/transport/caller_task.c
@@ -3,6 +3,8 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "state/thread_sanitizer.h"
+
 #define MAILBOX_LIMIT 65536
 #define OUTSTANDING_LIMIT 4096
 #define SESSIONS_LIMIT 65536
@@ -97,6 +99,7 @@
     call->session->pending_call_count--;
     close_session_if_finished(self, call->session);
     g_hash_table_remove(self->pending_calls, call);
+    GB_THREAD_RELEASE(outcome);
     g_async_queue_push(self->outcomes, outcome);
 }
 
@@ -204,6 +207,7 @@
     g_hash_table_destroy(self->session_flows);
     g_hash_table_destroy(self->open_session_ids);
     while ((outcome = g_async_queue_try_pop(self->outcomes)) != NULL) {
+        GB_THREAD_ACQUIRE(outcome);
         GbCallOutcome_Free(outcome);
     }
     g_async_queue_unref(self->outcomes);
@@ -359,6 +363,7 @@
         self->outcomes, (guint64)timeout_ms * US_PER_MS);
 
     if (outcome != NULL) {
+        GB_THREAD_ACQUIRE(outcome);
         self->outstanding_calls--;
     }
     return outcome;
--- a/src/transport/task.c
+++ b/src/transport/task.c
@@ -5,6 +5,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "state/thread_sanitizer.h"
 #include "state/timer_queue.h"
 #include "transport/event_base.h"
 
@@ -45,6 +46,7 @@
         return;
     }
     while ((message = g_async_queue_try_pop(self->mailbox)) != NULL) {
+        GB_THREAD_ACQUIRE(message);
         if (message->klass == &stop_message_class) {
             self->is_stopping = true;
         }
@@ -154,6 +156,7 @@
 void
 GbTask_Post(struct GbTask *self, struct GbTaskMessage *message)
 {
+    GB_THREAD_RELEASE(message);
     g_async_queue_push(self->mailbox, message);
     wake_thread(self);
 }
@@ -193,6 +196,7 @@
         close(self->wake_fd);
     }
     while ((message = g_async_queue_try_pop(self->mailbox)) != NULL) {
+        GB_THREAD_ACQUIRE(message);
         message->klass->free(message);
     }
     g_async_queue_unref(self->mailbox);
