Spread fallback reads over the fleet, and count confirmations that are pulled

Each process without a current version for 1.4 to 1.9 s reads by itself, all 290 at about the same time. While changes come one after the other, all announcements are of newer versions, which only started a pull; the confirmation in them was dropped, so that processes that pulled all the time counted as not current.

Change: the time until a process reads by itself is random, in a range that grows with the number of processes from which it hears (view_fallback). One that hears from few, or cannot pull, reads after 1.4 to 1.9 s as before, and so do all processes of a small fleet. A process that was not current and is confirmed again tells four peers at once. A pull that brings the announced version confirms it. One of three announcements goes to a process that is missing from the list, so that balancers hear as much as agents. A seed that has the list but no routes yet replies to pulls.

--- a/src/coordination/flows/view_gossip.c
+++ b/src/coordination/flows/view_gossip.c
@@ -14,15 +14,16 @@
  * an announcement in reply: some processes of a large fleet are missed by the
  * announcements of several periods. */
 #define REPLY_AGE_DIFFERENCE_US INT64_C(600000)
-/* Readers confirm the version at least once a second, and it takes a few
- * periods to spread. */
-#define FALLBACK_DELAY_US INT64_C(1400000)
-#define FALLBACK_JITTER_US 500000
+/* A process whose version is older than this tells peers at once when it is
+ * confirmed again, because most processes wait for that. */
+#define STALE_AGE_US INT64_C(1400000)
 /* A process that is no reader stops reading from the platform when a peer's
  * version was confirmed this recently. */
 #define CURRENT_MAX_AGE_US INT64_C(800000)
 /* Peers without announcements for longer are removed. */
 #define PEER_IDLE_US INT64_C(10000000)
+/* Peers of a process that has heard from none are the seeds. */
+#define SEEDS_MAX 3
 #define NEVER_US (INT64_MIN / 2)
 
 static uint32_t
@@ -59,13 +60,24 @@
     return ipv4 != self->config.own_ipv4 ? ipv4 : 0;
 }
 
+static uint32_t
+known_count(const struct GbViewGossip *self)
+{
+    return self->peer_count + self->store->entries->len;
+}
+
+/* The first of several receivers is one that is missing from the instance
+ * list. Not every process knows it, so that it would hear less than others. */
 static void
 announce_to_random(struct GbViewGossip *self, uint32_t fanout)
 {
-    uint32_t known = self->peer_count + self->store->entries->len;
+    uint32_t known = known_count(self);
 
     for (uint32_t i = 0; known > 0 && i < fanout; i++) {
-        uint32_t ipv4 = address_at(self, GbRandom_Below(self->random, known));
+        bool is_peer = i == 0 && self->peer_count > SEEDS_MAX;
+        uint32_t ipv4 = address_at(
+            self,
+            GbRandom_Below(self->random, is_peer ? self->peer_count : known));
 
         if (ipv4 != 0) {
             announce_to(self, ipv4);
@@ -125,7 +137,8 @@
         return now_us - self->peer_confirmed_us > CURRENT_MAX_AGE_US;
     }
     return now_us - MAX(self->confirmed_us, self->started_us) >
-           self->fallback_delay_us;
+           GbViewFallback_DelayUs(&self->fallback, known_count(self),
+                                  PERIOD_FANOUT);
 }
 
 static void
@@ -135,6 +148,7 @@
 
     if (is_wanted != self->is_reading) {
         self->is_reading = is_wanted;
+        GbViewFallback_Redraw(&self->fallback, self->random);
         self->port->klass->read_platform(self->port, is_wanted);
     }
 }
@@ -153,13 +167,45 @@
     }
 }
 
+/* Records that the stored version was current at this monotonic time. */
 static void
-start_pull(struct GbViewGossip *self, uint32_t ipv4)
+confirm(struct GbViewGossip *self, int64_t confirmed_us)
+{
+    bool was_stale = GbViewGossip_AgeUs(self) > STALE_AGE_US;
+
+    self->confirmed_us = MAX(self->confirmed_us, confirmed_us);
+    if (was_stale && self->startup.is_done &&
+        GbViewGossip_AgeUs(self) < STALE_AGE_US / 2) {
+        announce_to_random(self, CHANGE_FANOUT);
+    }
+}
+
+static void
+start_pull(struct GbViewGossip *self, uint32_t ipv4,
+           const struct GbViewVersion *version, int64_t confirmed_us)
 {
     self->pull_peer_ipv4 = ipv4;
+    self->pull_version = *version;
+    self->pull_confirmed_us = confirmed_us;
     self->port->klass->pull(self->port, ipv4);
 }
 
+/* While changes come one after the other, peers are ahead most of the time,
+ * and only a pull brings the version that they confirm. */
+static void
+confirm_pulled_version(struct GbViewGossip *self)
+{
+    struct GbViewVersion own = GbViewStore_Version(self->store);
+
+    if (GbViewVersion_IsAhead(&self->pull_version, &own)) {
+        GbViewFallback_RecordFailedPull(&self->fallback);
+        return;
+    }
+    self->peer_confirmed_us =
+        MAX(self->peer_confirmed_us, self->pull_confirmed_us);
+    confirm(self, self->pull_confirmed_us);
+}
+
 void
 GbViewGossip_Init(struct GbViewGossip *self,
                   const struct GbViewGossipConfig *config,
@@ -178,8 +224,7 @@
     GbViewStartup_Init(&self->startup, config->is_view_urgent,
                        self->next_round_us, random);
     self->replies_left = REPLIES_MAX;
-    self->fallback_delay_us =
-        FALLBACK_DELAY_US + GbRandom_Below(random, FALLBACK_JITTER_US);
+    GbViewFallback_Init(&self->fallback, random);
 }
 
 void
@@ -197,7 +242,7 @@
 void
 GbViewGossip_RecordConfirmation(struct GbViewGossip *self)
 {
-    self->confirmed_us = GbClock_MonotonicUs(self->clock);
+    confirm(self, GbClock_MonotonicUs(self->clock));
     finish_startup(self);
 }
 
@@ -221,9 +266,10 @@
     struct GbViewVersion own = GbViewStore_Version(self->store);
 
     record_peer(self, from_ipv4, now_us);
+    GbViewFallback_RecordAnnouncement(&self->fallback);
     if (GbViewVersion_IsAhead(version, &own)) {
         if (self->pull_peer_ipv4 == 0) {
-            start_pull(self, from_ipv4);
+            start_pull(self, from_ipv4, version, confirmed_us);
         }
         return;
     }
@@ -234,13 +280,14 @@
         announce_to(self, from_ipv4);
     }
     self->peer_confirmed_us = MAX(self->peer_confirmed_us, confirmed_us);
-    self->confirmed_us = MAX(self->confirmed_us, confirmed_us);
+    confirm(self, confirmed_us);
 }
 
 void
 GbViewGossip_FinishPull(struct GbViewGossip *self)
 {
     self->pull_peer_ipv4 = 0;
+    confirm_pulled_version(self);
     if (GbViewStore_IsComplete(self->store)) {
         finish_startup(self);
     }
@@ -277,6 +324,7 @@
     self->next_round_us = now_us + PERIOD_US;
     self->replies_left = REPLIES_MAX;
     remove_idle_peers(self, now_us);
+    GbViewFallback_EndPeriod(&self->fallback);
     announce_to_random(self, PERIOD_FANOUT);
     update_reading(self, now_us);
 }
--- a/src/coordination/flows/view_gossip.h
+++ b/src/coordination/flows/view_gossip.h
@@ -1,6 +1,7 @@
 #ifndef GB_COORDINATION_FLOWS_VIEW_GOSSIP_H
 #define GB_COORDINATION_FLOWS_VIEW_GOSSIP_H
 
+#include "coordination/flows/view_fallback.h"
 #include "coordination/flows/view_startup.h"
 #include "coordination/flows/view_store.h"
 #include "state/random.h"
@@ -44,8 +45,8 @@
  * processes read from the platform. Readers always read. All processes
  * periodically announce their version and its age to a few random peers, and a
  * peer with an older version pulls the difference. A process without a current
- * version for fallback_delay_us reads from the platform itself. GbViewStartup
- * decides how a process without any view gets its first one. */
+ * version for the time of GbViewFallback reads from the platform itself.
+ * GbViewStartup decides how a process without any view gets its first one. */
 struct GbViewGossip {
     struct GbViewGossipConfig config;
     struct GbViewGossipPort *port;
@@ -67,11 +68,13 @@
     struct GbViewVersion announced_version;
     /* Monotonic time of the next periodic announcement. */
     int64_t next_round_us;
-    /* Time without confirmation after which the process reads from the
-     * platform itself. */
-    int64_t fallback_delay_us;
+    struct GbViewFallback fallback;
     /* Peer of the pull in progress; 0 if none. */
     uint32_t pull_peer_ipv4;
+    /* Version that this peer has announced, and the monotonic time at which it
+     * was confirmed. */
+    struct GbViewVersion pull_version;
+    int64_t pull_confirmed_us;
     /* Replies to announcements that may still be sent in this round. */
     uint32_t replies_left;
     bool is_reading;
--- a/src/transport/view_exchange.c
+++ b/src/transport/view_exchange.c
@@ -52,8 +52,9 @@
 
     GbDocument_Unref(self->delta);
     self->delta = NULL;
-    if (!GbViewStore_IsComplete(self->view_store) ||
-        !GbViewVersion_IsAhead(&own, &since)) {
+    /* Routes may be missing because none were written yet. Without a list, the
+     * delta would be a full list without instances. */
+    if (!self->view_store->has_list || !GbViewVersion_IsAhead(&own, &since)) {
         return NULL;
     }
     bytes = GbViewDelta_Encode(self->view_store, &since);
--- a/tests/test_view_gossip.c
+++ b/tests/test_view_gossip.c
@@ -19,6 +19,8 @@
 /* The platform responds to a reader at once after a change, and once a second
  * otherwise. */
 #define WATCH_US SECOND
+/* Time between two calls while the platform does not answer. */
+#define RETRY_US (800 * MS)
 
 struct GossipFleet;
 
@@ -35,7 +37,10 @@
     /* The platform sends this process new revisions but not their routes. */
     bool lacks_new_routes;
     int64_t last_response_us;
+    /* Calls that the platform has answered, and all that were tried. */
     uint64_t calls;
+    uint64_t attempts;
+    int64_t last_attempt_us;
 };
 
 /* Processes that exchange views in memory, and a platform with one version of
@@ -142,8 +147,14 @@
     struct GossipFleet *fleet = node->fleet;
     int64_t now_us = fleet->clock.monotonic_us;
 
-    if (!node->is_reading || node->is_platform_unreachable ||
-        fleet->is_platform_down) {
+    if (!node->is_reading) {
+        return;
+    }
+    if (node->is_platform_unreachable || fleet->is_platform_down) {
+        if (now_us - node->last_attempt_us >= RETRY_US) {
+            node->last_attempt_us = now_us;
+            node->attempts++;
+        }
         return;
     }
     if (node->store.revision < fleet->revision ||
@@ -241,6 +252,8 @@
 
 struct FaultCase {
     const char *name;
+    uint32_t node_count;
+    uint32_t balancer_count;
     /* Processes 0 to unreachable_count - 1 cannot reach the platform. */
     uint32_t unreachable_count;
     /* Process 0 receives new revisions without their routes for 100 ms. */
@@ -249,11 +262,17 @@
 };
 
 static const struct FaultCase fault_cases[] = {
-    {"nothing fails", 0, false, 600 * MS},
-    {"one reader cut off", 1, false, 1000 * MS},
-    {"all readers cut off", READERS, false, 2500 * MS},
-    {"most processes cut off", NODES - 1, false, 3000 * MS},
-    {"a reader has the list before the routes", 0, true, 1000 * MS},
+    {"nothing fails", NODES, READERS, 0, false, 600 * MS},
+    {"one reader cut off", NODES, READERS, 1, false, 1000 * MS},
+    {"all readers cut off", NODES, READERS, READERS, false, 2500 * MS},
+    {"most processes cut off", NODES, READERS, NODES - 1, false, 3000 * MS},
+    {"a reader has the list before the routes", NODES, READERS, 0, true,
+     1000 * MS},
+    {"fleet of hundreds", NODES_MAX, BALANCERS, 0, false, 1000 * MS},
+    {"all readers of a fleet of hundreds cut off", NODES_MAX, BALANCERS,
+     READERS, false, 3000 * MS},
+    {"a third of a fleet of hundreds cut off, with its readers", NODES_MAX,
+     BALANCERS, NODES_MAX / 3, false, 3000 * MS},
 };
 
 /* Fault pattern: a change while some processes, including readers, cannot
@@ -267,8 +286,8 @@
         static struct GossipFleet fleet;
 
         g_test_message("%s", row->name);
-        init_fleet(&fleet, NODES, READERS);
-        g_assert_cmpuint(count_current(&fleet), ==, NODES);
+        init_fleet(&fleet, row->node_count, row->balancer_count);
+        g_assert_cmpuint(count_current(&fleet), ==, row->node_count);
         for (uint32_t index = 0; index < row->unreachable_count; index++) {
             fleet.nodes[index].is_platform_unreachable = true;
         }
@@ -278,7 +297,7 @@
         advance(&fleet, 100 * MS);
         fleet.nodes[0].lacks_new_routes = false;
         advance(&fleet, row->within_us - 100 * MS);
-        g_assert_cmpuint(count_current(&fleet), ==, NODES);
+        g_assert_cmpuint(count_current(&fleet), ==, row->node_count);
         finish_fleet(&fleet);
     }
 }
@@ -323,24 +342,52 @@
     }
 }
 
+struct OutageCase {
+    const char *name;
+    uint32_t node_count;
+    uint32_t balancer_count;
+    /* Calls tried during the outage by processes that are no readers. Ten
+     * processes of a fleet of hundreds begin to read in a second. */
+    uint64_t attempts_max;
+};
+
+#define OUTAGE_S 6
+#define STARTS_PER_S 10
+
+static const struct OutageCase outage_cases[] = {
+    {"small fleet", NODES, READERS, NODES *OUTAGE_S *SECOND / RETRY_US},
+    {"fleet of hundreds", NODES_MAX, BALANCERS,
+     STARTS_PER_S *OUTAGE_S *OUTAGE_S / 2 * SECOND / RETRY_US},
+};
+
 /* Fault pattern: the platform is unreachable for a while. Guards against a
- * version that decreases, and against processes that do not read again
- * afterwards. */
+ * version that decreases, against processes that do not read again afterwards,
+ * and against a fleet of hundreds that calls the platform all at once. */
 static void
 test_platform_outage(void)
 {
-    static struct GossipFleet fleet;
+    for (size_t i = 0; i < G_N_ELEMENTS(outage_cases); i++) {
+        const struct OutageCase *row = &outage_cases[i];
+        static struct GossipFleet fleet;
+        uint64_t attempts = 0;
 
-    init_fleet(&fleet, NODES, READERS);
-    fleet.is_platform_down = true;
-    advance(&fleet, 5 * (int64_t)SECOND);
-    g_assert_cmpuint(count_current(&fleet), ==, NODES);
-    fleet.revision++;
-    fleet.routes_version++;
-    fleet.is_platform_down = false;
-    advance(&fleet, SECOND);
-    g_assert_cmpuint(count_current(&fleet), ==, NODES);
-    finish_fleet(&fleet);
+        g_test_message("%s", row->name);
+        init_fleet(&fleet, row->node_count, row->balancer_count);
+        fleet.is_platform_down = true;
+        advance(&fleet, OUTAGE_S * (int64_t)SECOND);
+        g_assert_cmpuint(count_current(&fleet), ==, row->node_count);
+        for (uint32_t index = READERS; index < row->node_count; index++) {
+            attempts += fleet.nodes[index].attempts;
+        }
+        g_test_message("attempts %u", (unsigned)attempts);
+        g_assert_cmpuint(attempts, <=, row->attempts_max);
+        fleet.revision++;
+        fleet.routes_version++;
+        fleet.is_platform_down = false;
+        advance(&fleet, SECOND);
+        g_assert_cmpuint(count_current(&fleet), ==, row->node_count);
+        finish_fleet(&fleet);
+    }
 }
 
 struct StartCase {
