--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_balancer
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_capacity_agent
 	$(BUILD)/bench_capacity_platform
+	$(BUILD)/bench_capacity_view
 
 FUZZ_FLAGS = -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
 	-fno-sanitize-recover=all -Isrc -Itests -Iplatform -D_GNU_SOURCE \
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -7,18 +7,13 @@
 #include "protocol/target_json.h"
 #include "protocol/view_delta.h"
 #include "store_item.h"
-#include "store_watcher.h"
-#include "support/fake_store.h"
-#include "transport/event_base.h"
+#include "support/watcher_fixture.h"
 #include "transport/task.h"
 
 /* Entries that another writer left among those of the hosts. One of them must
  * neither end a process that reads the list nor keep it from following the
  * list, and the other entries stay in use. */
 
-#define PACKET_PORT 7000
-#define ROUNDS_MAX 800
-#define ROUND_US 5000
 #define GOOD_KEY "servers/good"
 #define ODD_KEY "servers/odd"
 #define LARGE_BYTES (1024 * 1024)
@@ -155,72 +150,20 @@
     return value;
 }
 
-struct Fixture {
-    struct event_base *base;
-    struct GbFakeStore store;
-    struct GbSystemClock clock;
-    struct GbSeededRandom random;
-    struct GbCounters counters;
-    struct GbViewStore view_store;
-    struct GbStoreWatcherListener listener;
-    struct GbStoreWatcher watcher;
-};
-
-static void
-ignore_update(struct GbStoreWatcherListener *listener)
-{
-    (void)listener;
-}
-
+/* Opens a store with one good host and a configuration. */
 static void
-open_fixture(struct Fixture *fixture)
+open_fixture(struct GbWatcherFixture *fixture)
 {
     fixture->store.host_key = GOOD_KEY;
     fixture->store.host_value = GOOD_HOST;
     fixture->store.config_value = CONFIG;
     fixture->store.config_revision = 5;
     fixture->store.revision = 10;
-    fixture->base = GbEventBase_New();
-    GbFakeStore_Open(&fixture->store, fixture->base);
-    GbSystemClock_Init(&fixture->clock);
-    GbSeededRandom_Init(&fixture->random, 1);
-    GbCounters_Init(&fixture->counters);
-    GbViewStore_Init(&fixture->view_store, &fixture->clock.super);
-    fixture->listener.updated = ignore_update;
-    GbStoreWatcher_Init(
-        &fixture->watcher, fixture->base, &fixture->store.address, PACKET_PORT,
-        &fixture->view_store, &fixture->listener, &fixture->clock.super,
-        &fixture->random.super, &fixture->counters);
-    GbStoreWatcher_Start(&fixture->watcher);
-}
-
-static void
-close_fixture(struct Fixture *fixture)
-{
-    GbStoreWatcher_Finish(&fixture->watcher);
-    GbViewStore_Finish(&fixture->view_store);
-    GbFakeStore_Close(&fixture->store);
-    event_base_free(fixture->base);
-}
-
-/* Runs until the view store has this revision. */
-static void
-run_until_revision(struct Fixture *fixture, uint64_t revision)
-{
-    static const struct timeval round = {0, ROUND_US};
-
-    for (uint32_t i = 0;
-         i < ROUNDS_MAX && (fixture->view_store.revision < revision ||
-                            !GbViewStore_IsComplete(&fixture->view_store));
-         i++) {
-        event_base_loopexit(fixture->base, &round);
-        event_base_dispatch(fixture->base);
-    }
-    g_assert_cmpuint(fixture->view_store.revision, ==, revision);
+    GbWatcherFixture_Open(fixture);
 }
 
 static uint32_t
-count_in_use(struct Fixture *fixture, const char *key)
+count_in_use(struct GbWatcherFixture *fixture, const char *key)
 {
     struct GbRoutingView *view;
     uint32_t count = 0;
@@ -247,21 +190,21 @@
         {HTTP_OK, 11, ODD_KEY, row->size_bytes > 0 ? "" : value->str},
         {HTTP_OK, 12, GOOD_KEY, WITH_STATE("\"draining\"")},
     };
-    struct Fixture fixture = {.store = {.items = &odd,
-                                        .item_count = 1,
-                                        .watches = watches,
-                                        .watch_count = 2}};
+    struct GbWatcherFixture fixture = {.store = {.items = &odd,
+                                                 .item_count = 1,
+                                                 .watches = watches,
+                                                 .watch_count = 2}};
     uint32_t odd_count = row->is_usable ? 1 : 0;
 
     g_test_message("%s", row->name);
     open_fixture(&fixture);
-    run_until_revision(&fixture, 12);
+    GbWatcherFixture_RunUntilRevision(&fixture, 12);
     g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
     g_assert_cmpuint(count_in_use(&fixture, ODD_KEY), ==, odd_count);
     g_assert_cmpuint(fixture.store.list_reads, ==, 1);
     g_assert_cmpuint(fixture.counters.values[GB_COUNTER_INSTANCES_UNUSABLE],
                      ==, row->is_usable ? 0 : 2);
-    close_fixture(&fixture);
+    GbWatcherFixture_Close(&fixture);
     g_string_free(value, TRUE);
 }
 
@@ -329,17 +272,17 @@
         const struct RawCase *row = &raw_cases[i];
         const struct GbFakeItem odd = {row->key, NULL, 0, row->raw_value};
         const struct GbFakeWatch watch = {HTTP_OK, 11, GOOD_KEY, GOOD_HOST};
-        struct Fixture fixture = {.store = {.items = &odd,
-                                            .item_count = 1,
-                                            .watches = &watch,
-                                            .watch_count = 1}};
+        struct GbWatcherFixture fixture = {.store = {.items = &odd,
+                                                     .item_count = 1,
+                                                     .watches = &watch,
+                                                     .watch_count = 1}};
 
         g_test_message("%s", row->name);
         open_fixture(&fixture);
-        run_until_revision(&fixture, 11);
+        GbWatcherFixture_RunUntilRevision(&fixture, 11);
         g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
         g_assert_cmpuint(fixture.view_store.entries->len, ==, 1);
-        close_fixture(&fixture);
+        GbWatcherFixture_Close(&fixture);
     }
 }
 
@@ -350,11 +293,11 @@
 {
     struct GbFakeItem items[PAGED_ITEMS];
     struct GbFakeWatch watch = {HTTP_OK, 11, GOOD_KEY, GOOD_HOST};
-    struct Fixture fixture = {.store = {.items = items,
-                                        .item_count = PAGED_ITEMS,
-                                        .page_items = 7,
-                                        .watches = &watch,
-                                        .watch_count = 1}};
+    struct GbWatcherFixture fixture = {.store = {.items = items,
+                                                 .item_count = PAGED_ITEMS,
+                                                 .page_items = 7,
+                                                 .watches = &watch,
+                                                 .watch_count = 1}};
 
     for (uint32_t i = 0; i < PAGED_ITEMS; i++) {
         bool is_good = i % 10 == 0;
@@ -365,10 +308,10 @@
         items[i].raw_value = NULL;
     }
     open_fixture(&fixture);
-    run_until_revision(&fixture, 11);
+    GbWatcherFixture_RunUntilRevision(&fixture, 11);
     g_assert_cmpuint(fixture.view_store.entries->len, ==,
                      1 + PAGED_ITEMS / 10);
-    close_fixture(&fixture);
+    GbWatcherFixture_Close(&fixture);
     for (uint32_t i = 0; i < PAGED_ITEMS; i++) {
         g_free((gpointer)items[i].key);
     }
@@ -384,13 +327,14 @@
         {HTTP_OK, 11, ODD_KEY, large},
         {HTTP_OK, 12, GOOD_KEY, GOOD_HOST},
     };
-    struct Fixture fixture = {.store = {.watches = watches, .watch_count = 2}};
+    struct GbWatcherFixture fixture = {
+        .store = {.watches = watches, .watch_count = 2}};
 
     open_fixture(&fixture);
-    run_until_revision(&fixture, 12);
+    GbWatcherFixture_RunUntilRevision(&fixture, 12);
     g_assert_cmpuint(fixture.store.list_reads, ==, 2);
     g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
-    close_fixture(&fixture);
+    GbWatcherFixture_Close(&fixture);
     g_free(large);
 }
 
@@ -429,8 +373,9 @@
         memcpy(key, GB_STORE_HOSTS_PREFIX, strlen(GB_STORE_HOSTS_PREFIX));
         item.key = key;
         g_assert_cmpint(
-            GbStoreItem_ParseInstance(&item, PACKET_PORT, &instance, NULL), ==,
-            GB_PLATFORM_OK);
+            GbStoreItem_ParseInstance(&item, GB_WATCHER_FIXTURE_PACKET_PORT,
+                                      &instance, NULL),
+            ==, GB_PLATFORM_OK);
         id = GbStoreItem_InstanceId(key);
         g_assert_cmpuint(instance.id, ==, id);
         GbSystemClock_Init(&clock);
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -1,9 +1,7 @@
 #include <glib.h>
 
 #include "protocol/view_delta.h"
-#include "store_watcher.h"
-#include "support/fake_store.h"
-#include "transport/event_base.h"
+#include "support/watcher_fixture.h"
 
 #define HOST_KEY "servers/i-1"
 #define READY_HOST                                                            \
@@ -19,75 +17,6 @@
     "\"198.18.0.1\",\"prefix\":\"/443/\",\"kind\":\"idempotent\","            \
     "\"timeoutMs\":1000,\"latencyGoalMs\":100,\"priority\":2,"                \
     "\"service\":\"hints\"}],\"services\":[],\"limits\":{}}"
-#define ROUNDS_MAX 400
-#define ROUND_US 5000
-
-/* Watcher that reads from a store with scripted replies. */
-struct Fixture {
-    struct event_base *base;
-    struct GbFakeStore store;
-    struct GbSystemClock clock;
-    struct GbSeededRandom random;
-    struct GbCounters counters;
-    struct GbViewStore view_store;
-    struct GbStoreWatcherListener listener;
-    struct GbStoreWatcher watcher;
-    uint32_t update_count;
-};
-
-static void
-count_update(struct GbStoreWatcherListener *listener)
-{
-    struct Fixture *fixture =
-        (struct Fixture *)((char *)listener -
-                           offsetof(struct Fixture, listener));
-
-    fixture->update_count++;
-}
-
-static void
-open_fixture(struct Fixture *fixture)
-{
-    fixture->base = GbEventBase_New();
-    GbFakeStore_Open(&fixture->store, fixture->base);
-    GbSystemClock_Init(&fixture->clock);
-    GbSeededRandom_Init(&fixture->random, 1);
-    GbCounters_Init(&fixture->counters);
-    GbViewStore_Init(&fixture->view_store, &fixture->clock.super);
-    fixture->listener.updated = count_update;
-    GbStoreWatcher_Init(&fixture->watcher, fixture->base,
-                        &fixture->store.address, 7000, &fixture->view_store,
-                        &fixture->listener, &fixture->clock.super,
-                        &fixture->random.super, &fixture->counters);
-    GbStoreWatcher_Start(&fixture->watcher);
-}
-
-/* Runs until the store has answered the last scripted watch and the watcher
- * has handled the reply. */
-static void
-run_until_idle(struct Fixture *fixture)
-{
-    static const struct timeval round = {0, ROUND_US};
-    uint32_t rounds = 0;
-    uint32_t idle_rounds = 0;
-
-    while (rounds++ < ROUNDS_MAX && idle_rounds < 60) {
-        event_base_loopexit(fixture->base, &round);
-        event_base_dispatch(fixture->base);
-        if (fixture->store.watches_replied == fixture->store.watch_count) {
-            idle_rounds++;
-        }
-    }
-}
-
-static void
-close_fixture(struct Fixture *fixture)
-{
-    GbStoreWatcher_Finish(&fixture->watcher);
-    GbViewStore_Finish(&fixture->view_store);
-    GbFakeStore_Close(&fixture->store);
-    event_base_free(fixture->base);
-}
 
 static void
 change_config_before_first_watch(struct GbFakeStore *store, uint32_t number)
@@ -111,7 +40,7 @@
         {410, 0, NULL, NULL},
         {HTTP_OK, 14, NULL, NULL},
     };
-    struct Fixture fixture = {
+    struct GbWatcherFixture fixture = {
         .store = {.host_key = HOST_KEY,
                   .host_value = READY_HOST,
                   .config_value = CONFIG("3"),
@@ -124,8 +53,8 @@
     struct GbViewVersion since = {10, 3};
     GByteArray *delta;
 
-    open_fixture(&fixture);
-    run_until_idle(&fixture);
+    GbWatcherFixture_Open(&fixture);
+    GbWatcherFixture_RunUntilIdle(&fixture);
     g_assert_cmpuint(fixture.store.watches_replied, ==, 3);
     g_assert_cmpuint(fixture.store.watched_after[1], ==, 10);
     g_assert_cmpuint(fixture.store.config_reads, ==, 2);
@@ -141,7 +70,7 @@
     g_assert_cmpuint(peer.routes->version, ==, 5);
     g_byte_array_free(delta, TRUE);
     GbViewStore_Finish(&peer);
-    close_fixture(&fixture);
+    GbWatcherFixture_Close(&fixture);
 }
 
 struct EventCase {
@@ -192,18 +121,19 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(event_cases); i++) {
         const struct EventCase *row = &event_cases[i];
-        struct Fixture fixture = {.store = {.host_key = HOST_KEY,
-                                            .host_value = READY_HOST,
-                                            .config_value = CONFIG("3"),
-                                            .config_revision = 5,
-                                            .revision = 10,
-                                            .watches = &row->watch,
-                                            .watch_count = 1}};
+        struct GbWatcherFixture fixture = {
+            .store = {.host_key = HOST_KEY,
+                      .host_value = READY_HOST,
+                      .config_value = CONFIG("3"),
+                      .config_revision = 5,
+                      .revision = 10,
+                      .watches = &row->watch,
+                      .watch_count = 1}};
         struct GbRoutingView *view;
 
         g_test_message("%s", row->name);
-        open_fixture(&fixture);
-        run_until_idle(&fixture);
+        GbWatcherFixture_Open(&fixture);
+        GbWatcherFixture_RunUntilIdle(&fixture);
         view = GbViewStore_TakeView(&fixture.view_store);
         g_assert_nonnull(view);
         g_assert_cmpuint(view->list->count, ==, row->listed_count);
@@ -212,7 +142,7 @@
         g_assert_cmpuint(view->routes->version, ==, row->routes_version);
         g_assert_cmpuint(fixture.view_store.revision, ==, 11);
         GbRoutingView_Unref(view);
-        close_fixture(&fixture);
+        GbWatcherFixture_Close(&fixture);
     }
 }
 
@@ -231,19 +161,20 @@
     static const struct GbFakeWatch watches[] = {
         {HTTP_OK, 11, "op/config", CONFIG("1")},
     };
-    struct Fixture fixture = {.store = {.host_key = HOST_KEY,
-                                        .host_value = READY_HOST,
-                                        .revision = 10,
-                                        .watches = watches,
-                                        .watch_count = 1,
-                                        .before_watch = write_config}};
+    struct GbWatcherFixture fixture = {
+        .store = {.host_key = HOST_KEY,
+                  .host_value = READY_HOST,
+                  .revision = 10,
+                  .watches = watches,
+                  .watch_count = 1,
+                  .before_watch = write_config}};
 
-    open_fixture(&fixture);
-    run_until_idle(&fixture);
+    GbWatcherFixture_Open(&fixture);
+    GbWatcherFixture_RunUntilIdle(&fixture);
     g_assert_cmpuint(fixture.store.config_reads, ==, 1);
     g_assert_nonnull(fixture.view_store.routes);
     g_assert_true(GbViewStore_IsComplete(&fixture.view_store));
-    close_fixture(&fixture);
+    GbWatcherFixture_Close(&fixture);
 }
 
 int
