Report settings that a running process does not take over

A change of the settings file other than of the seeds was ignored without a word. Test: node-file changes.

--- a/tests/test_node_file.c
+++ b/tests/test_node_file.c
@@ -55,17 +55,18 @@
      "seeds[1]: malformed"},
 };
 
+/* Returns the settings of a balancer with a part replaced. */
 static gchar *
-edit_settings(const struct NodeCase *row)
+edit_settings(const char *old, const char *new)
 {
     gchar **parts;
     gchar *text;
 
-    if (row->old[0] == '\0') {
+    if (old[0] == '\0') {
         return g_strdup(BALANCER_SETTINGS);
     }
-    parts = g_strsplit(BALANCER_SETTINGS, row->old, -1);
-    text = g_strjoinv(row->new, parts);
+    parts = g_strsplit(BALANCER_SETTINGS, old, -1);
+    text = g_strjoinv(new, parts);
     g_strfreev(parts);
     return text;
 }
@@ -77,7 +78,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(node_cases); i++) {
         const struct NodeCase *row = &node_cases[i];
-        gchar *text = edit_settings(row);
+        gchar *text = edit_settings(row->old, row->new);
         GString *errors = g_string_new(NULL);
         struct GbNodeFile node;
 
@@ -116,6 +117,50 @@
     g_string_free(errors, TRUE);
 }
 
+struct ChangeCase {
+    const char *name;
+    const char *old;
+    const char *new;
+    /* Fields that need a restart. */
+    const char *fields;
+};
+
+static const struct ChangeCase change_cases[] = {
+    {"nothing", "", "", ""},
+    {"another seed", "10.2.0.40:8166", "10.3.0.7:8166", ""},
+    {"data centre", "\"a\"", "\"b\"", "zone"},
+    {"port of packets", ":8172", ":8173", "listen.datagramAddr"},
+    {"store", "10.200.1.7:8169", "10.200.1.8:8169", "platform.address"},
+    {"ports between processes", "7720,7735", "7720,7736", "portRange"},
+};
+
+/* Guards against a change of the file that a running process neither takes
+ * over nor reports. */
+static void
+test_changes(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(change_cases); i++) {
+        const struct ChangeCase *row = &change_cases[i];
+        gchar *text = edit_settings(row->old, row->new);
+        GString *errors = g_string_new(NULL);
+        GString *fields = g_string_new(NULL);
+        struct GbNodeFile before;
+        struct GbNodeFile after;
+
+        g_test_message("%s", row->name);
+        g_assert_cmpint(
+            GbNodeFile_Parse(&before, BALANCER_SETTINGS, false, errors), ==,
+            GB_PLATFORM_OK);
+        g_assert_cmpint(GbNodeFile_Parse(&after, text, false, errors), ==,
+                        GB_PLATFORM_OK);
+        GbNodeFile_AppendFixedChanges(&before, &after, fields);
+        g_assert_cmpstr(fields->str, ==, row->fields);
+        g_string_free(fields, TRUE);
+        g_string_free(errors, TRUE);
+        g_free(text);
+    }
+}
+
 /* Guards against a missing file that is taken for an empty one, and against an
  * error message without its path. */
 static void
@@ -137,6 +182,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/node-file/parse", test_parse);
     g_test_add_func("/node-file/values", test_values);
+    g_test_add_func("/node-file/changes", test_changes);
     g_test_add_func("/node-file/missing-file", test_missing_file);
     return g_test_run();
 }
