--- a/src/transport/flow_agent_task.c
+++ b/src/transport/flow_agent_task.c
@@ -38,19 +38,13 @@
                   const uint8_t *data, size_t size_bytes)
 {
     struct GbFlowAgentTask *self = CONTAINER_OF(listener, outbound_listener);
-    const struct GbPacketCodec *codec = self->super.config.codec;
     struct GbPacket packet;
 
     (void)from;
-    /* Dropping const is safe: the buffer belongs to the socket, which does not
-     * read it again. */
-    if (!codec->klass->decode(codec, true, (uint8_t *)data, size_bytes,
-                              &packet)) {
-        GbCounters_Add(&self->super.counters, GB_COUNTER_DATAGRAMS_MALFORMED,
-                       1);
-        return;
+    if (GbPacketTask_DecodePacket(&self->super, true, data, size_bytes,
+                                  &packet)) {
+        GbFlowAgent_ReceiveFromTarget(&self->agent, &packet);
     }
-    GbFlowAgent_ReceiveFromTarget(&self->agent, &packet);
 }
 
 static void
--- a/src/transport/packet_task.c
+++ b/src/transport/packet_task.c
@@ -36,11 +36,7 @@
     struct GbPacketTask *self = CONTAINER_OF(listener, packet_listener);
     struct GbPacket packet;
 
-    /* Dropping const is safe: the buffer belongs to the socket, which does not
-     * read it again. */
-    if (!self->config.codec->klass->decode(
-            self->config.codec, false, (uint8_t *)data, size_bytes, &packet)) {
-        GbCounters_Add(&self->counters, GB_COUNTER_DATAGRAMS_MALFORMED, 1);
+    if (!GbPacketTask_DecodePacket(self, false, data, size_bytes, &packet)) {
         return;
     }
     self->last_packet_us = GbClock_MonotonicUs(self->super.clock);
@@ -172,6 +168,23 @@
     GbUdp_Flush(&self->notice_udp);
 }
 
+bool
+GbPacketTask_DecodePacket(struct GbPacketTask *self, bool is_from_target,
+                          const uint8_t *data, size_t size_bytes,
+                          struct GbPacket *packet)
+{
+    const struct GbPacketCodec *codec = self->config.codec;
+
+    /* Dropping const is safe: the buffer belongs to the socket, which does not
+     * read it again. */
+    if (!codec->klass->decode(codec, is_from_target, (uint8_t *)data,
+                              size_bytes, packet)) {
+        GbCounters_Add(&self->counters, GB_COUNTER_DATAGRAMS_MALFORMED, 1);
+        return false;
+    }
+    return true;
+}
+
 void
 GbPacketTask_SendToAddress(struct GbPacketTask *self,
                            const struct GbPacket *packet,
--- a/src/transport/packet_task.h
+++ b/src/transport/packet_task.h
@@ -84,6 +84,13 @@
 /* Sends all queued datagrams. */
 void GbPacketTask_Flush(struct GbTask *task);
 
+/* Decodes a datagram into a packet, which points into it. is_from_target is
+ * true for a packet that the target sent. Counts a malformed one and returns
+ * false. */
+bool GbPacketTask_DecodePacket(struct GbPacketTask *self, bool is_from_target,
+                               const uint8_t *data, size_t size_bytes,
+                               struct GbPacket *packet);
+
 /* Writes the metadata of a packet with the codec and sends the packet as one
  * datagram. */
 void GbPacketTask_SendToAddress(struct GbPacketTask *self,
