--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -317,6 +317,47 @@
     }
 }
 
+struct TurnCase {
+    const char *name;
+    /* Values of the good host's entry, one after the other. */
+    const char *values[3];
+    /* The host is in use right after the last one. */
+    bool is_in_use;
+};
+
+static const struct TurnCase turn_cases[] = {
+    /* As after a removal: the host may be about to write its entry again. */
+    {"turns odd", {GOOD_HOST, GOOD_HOST, "["}, true},
+    {"turns odd and then good", {"[", "{}", GOOD_HOST}, true},
+    {"is leaving and turns odd",
+     {GOOD_HOST, WITH_STATE("\"draining\""), "["},
+     false},
+};
+
+/* Guards against a host that is not used again after its entry was odd for a
+ * while, and against a leaving one that is. */
+static void
+test_entry_turns_odd(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(turn_cases); i++) {
+        const struct TurnCase *row = &turn_cases[i];
+        const struct GbFakeWatch watches[] = {
+            {HTTP_OK, 11, GOOD_KEY, row->values[0]},
+            {HTTP_OK, 12, GOOD_KEY, row->values[1]},
+            {HTTP_OK, 13, GOOD_KEY, row->values[2]},
+        };
+        struct GbWatcherFixture fixture = {
+            .store = {.watches = watches, .watch_count = 3}};
+
+        g_test_message("%s", row->name);
+        open_fixture(&fixture);
+        GbWatcherFixture_RunUntilRevision(&fixture, 13);
+        g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==,
+                         row->is_in_use ? 1 : 0);
+        GbWatcherFixture_Close(&fixture);
+    }
+}
+
 /* A reply to a watch exceeds the limit because of large entries. Guards
  * against a watcher that asks for the same reply again for ever. */
 static void
@@ -443,6 +484,7 @@
     g_test_add_func("/odd-entries/odd-entry", test_odd_entry);
     g_test_add_func("/odd-entries/raw-item", test_raw_item);
     g_test_add_func("/odd-entries/each-page", test_odd_entries_on_each_page);
+    g_test_add_func("/odd-entries/entry-turns-odd", test_entry_turns_odd);
     g_test_add_func("/odd-entries/watch-reply-too-large",
                     test_watch_reply_too_large);
     g_test_add_func("/odd-entries/long-key", test_long_key);
