--- a/src/transport/log.c
+++ b/src/transport/log.c
@@ -52,8 +52,8 @@
 
 /* Lines dropped since the last line was written. */
 static uint64_t lost_line_count;
-/* Lines that wait to be written. */
-static char batch[PIPE_BUF];
+/* Lines that wait to be written, with a final NUL. */
+static char batch[PIPE_BUF + 1];
 static size_t batch_bytes;
 static uint32_t batch_line_count;
 /* Guards the batch, and serializes writes: a pipe that polls as writable is
@@ -113,10 +113,10 @@
 
     (void)appender;
     pthread_mutex_lock(&output_lock);
-    if (batch_bytes + size_bytes > sizeof(batch)) {
+    if (batch_bytes + size_bytes > PIPE_BUF) {
         write_batch();
     }
-    memcpy(batch + batch_bytes, line, size_bytes);
+    memcpy(batch + batch_bytes, line, size_bytes + 1);
     batch_bytes += size_bytes;
     batch_line_count++;
     if (!is_batching) {
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -398,7 +398,9 @@
 test_long_key(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(key_cases); i++) {
-        char *key = g_strnfill(key_cases[i].key_bytes, 'k');
+        char *id = g_strnfill(
+            key_cases[i].key_bytes - strlen(GB_STORE_HOSTS_PREFIX), 'k');
+        char *key = g_strconcat(GB_STORE_HOSTS_PREFIX, id, NULL);
         struct GbStoreItem item = {.value = (uint8_t *)GOOD_HOST,
                                    .size_bytes = strlen(GOOD_HOST)};
         struct GbViewVersion since = {0, 0};
@@ -408,17 +410,16 @@
         struct GbInstance instance;
         struct GbInstanceList *list = GbInstanceList_New();
         GByteArray *delta;
-        uint64_t id;
+        uint64_t instance_id;
 
         g_test_message("%s", key_cases[i].name);
-        memcpy(key, GB_STORE_HOSTS_PREFIX, strlen(GB_STORE_HOSTS_PREFIX));
         item.key = key;
         g_assert_cmpint(
             GbStoreItem_ParseInstance(&item, GB_WATCHER_FIXTURE_PACKET_PORT,
                                       &instance, NULL),
             ==, GB_PLATFORM_OK);
-        id = GbStoreItem_InstanceId(key);
-        g_assert_cmpuint(instance.id, ==, id);
+        instance_id = GbStoreItem_InstanceId(key);
+        g_assert_cmpuint(instance.id, ==, instance_id);
         GbSystemClock_Init(&clock);
         GbViewStore_Init(&store, &clock.super);
         GbViewStore_Init(&peer, &clock.super);
@@ -429,12 +430,13 @@
         delta = GbViewDelta_Encode(&store, &since);
         g_assert_cmpint(GbViewDelta_Apply(&peer, delta->data, delta->len), ==,
                         GB_PROTOCOL_OK);
-        g_assert_nonnull(GbViewStore_FindEntry(&peer, id));
+        g_assert_nonnull(GbViewStore_FindEntry(&peer, instance_id));
         g_byte_array_free(delta, TRUE);
         GbInstanceList_Unref(list);
         GbViewStore_Finish(&store);
         GbViewStore_Finish(&peer);
         g_free(key);
+        g_free(id);
     }
 }
 
