--- a/tests/standins/platform_standin.c
+++ b/tests/standins/platform_standin.c
@@ -5,7 +5,6 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <inttypes.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stddef.h>
@@ -16,6 +15,7 @@
 #include "protocol/document_json.h"
 #include "protocol/instances_json.h"
 #include "protocol/status_json.h"
+#include "support/standin_server.h"
 #include "transport/platform_client.h"
 #include "transport/process.h"
 #include "transport/settings.h"
@@ -434,48 +434,16 @@
     evhttp_clear_headers(&query);
 }
 
-static void
-stop_loop(evutil_socket_t number, short events, void *context)
-{
-    (void)number;
-    (void)events;
-    event_base_loopbreak(context);
-}
-
-static uint16_t
-bound_port(struct evhttp_bound_socket *socket)
-{
-    struct sockaddr_in system = {0};
-    socklen_t size_bytes = sizeof(system);
-
-    getsockname(evhttp_bound_socket_get_fd(socket), (struct sockaddr *)&system,
-                &size_bytes);
-    return ntohs(system.sin_port);
-}
-
-static struct evhttp_bound_socket *
-bind_http(struct Platform *self, struct evhttp *http)
-{
-    char text[GB_ADDRESS_TEXT_BYTES];
-
-    evhttp_set_allowed_methods(http, EVHTTP_REQ_GET);
-    evhttp_set_gencb(http, handle_request, self);
-    GbAddress_Format(&self->listen, text);
-    *strchr(text, ':') = '\0';
-    return evhttp_bind_socket_with_handle(http, text, self->listen.port);
-}
-
 int
 main(int argc, char **argv)
 {
     static struct Platform platform;
     static const struct timeval period = {0, WATCH_CHECK_MS * US_PER_MS};
     struct event_base *base = event_base_new();
-    struct event *term = evsignal_new(base, SIGTERM, stop_loop, base);
+    struct event *term;
     struct event *check_timer =
         event_new(base, -1, EV_PERSIST, answer_watches, &platform);
     struct evhttp *http = evhttp_new(base);
-    struct evhttp_bound_socket *socket;
 
     if (sodium_init() < 0 ||
         GbSettings_Load(settings_table, G_N_ELEMENTS(settings_table), PROGRAM,
@@ -484,14 +452,12 @@
     }
     g_queue_init(&platform.watches);
     signal(SIGPIPE, SIG_IGN);
-    socket = bind_http(&platform, http);
-    if (socket == NULL) {
-        fprintf(stderr, "%s: cannot open the HTTP server\n", PROGRAM);
+    evhttp_set_allowed_methods(http, EVHTTP_REQ_GET);
+    evhttp_set_gencb(http, handle_request, &platform);
+    if (!standin_server_listen(http, base, &platform.listen, PROGRAM)) {
         return GB_EXIT_FAILURE;
     }
-    printf("port=%u\n", (unsigned)bound_port(socket));
-    fflush(stdout);
-    event_add(term, NULL);
+    term = standin_server_stop_on_term(base);
     event_add(check_timer, &period);
     event_base_dispatch(base);
     evhttp_free(http);
--- a/tests/standins/target_standin.c
+++ b/tests/standins/target_standin.c
@@ -3,7 +3,6 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -13,6 +12,7 @@
 
 #include "standins/target_jobs.h"
 #include "state/address.h"
+#include "support/standin_server.h"
 #include "transport/event_base.h"
 #include "transport/process.h"
 #include "transport/settings.h"
@@ -210,45 +210,14 @@
     }
 }
 
-static void
-stop_loop(evutil_socket_t number, short events, void *context)
-{
-    (void)number;
-    (void)events;
-    event_base_loopbreak(context);
-}
-
-static uint16_t
-bound_port(struct evhttp_bound_socket *socket)
-{
-    struct sockaddr_in system = {0};
-    socklen_t size_bytes = sizeof(system);
-
-    getsockname(evhttp_bound_socket_get_fd(socket), (struct sockaddr *)&system,
-                &size_bytes);
-    return ntohs(system.sin_port);
-}
-
 static bool
 open_http(struct Target *self)
 {
-    struct evhttp_bound_socket *socket;
-    char text[GB_ADDRESS_TEXT_BYTES];
-
     self->http = evhttp_new(self->base);
     evhttp_set_max_body_size(self->http, BODY_BYTES_MAX);
     evhttp_set_gencb(self->http, handle_request, self);
-    GbAddress_Format(&self->listen, text);
-    *strchr(text, ':') = '\0';
-    socket =
-        evhttp_bind_socket_with_handle(self->http, text, self->listen.port);
-    if (socket == NULL) {
-        fprintf(stderr, "%s: cannot open the HTTP server\n", PROGRAM);
-        return false;
-    }
-    printf("port=%u\n", (unsigned)bound_port(socket));
-    fflush(stdout);
-    return true;
+    return standin_server_listen(self->http, self->base, &self->listen,
+                                 PROGRAM);
 }
 
 int
@@ -276,8 +245,7 @@
     if (!open_http(&target)) {
         return GB_EXIT_FAILURE;
     }
-    term = evsignal_new(target.base, SIGTERM, stop_loop, target.base);
-    event_add(term, NULL);
+    term = standin_server_stop_on_term(target.base);
     sampler =
         event_new(target.base, -1, EV_PERSIST, handle_sample_timer, &target);
     event_add(sampler, &period);
