Use one entry of each address, the one written last

Cause: two entries at one address counted as two instances. The old entry was ready until it expired and 2.2 s longer, so balancers ranked its address, and the agent there took the entry that was not leaving for its own.

Ruled out: a slow spread of the draining entry, since the host's agent had pulled its revision from a balancer within milliseconds of the acknowledgement, 3 s before the first late packet.

Fix: of the entries at an IPv4 address that are in use, a view holds the one that was written last. Lists and full deltas keep the revision of each entry; they had given all of them the revision of the list. An entry whose service has no route does not displace one whose service has, because another writer may have left it. A removed entry that was superseded is not used again.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -22,21 +22,11 @@
 static const struct GbInstance *
 find_own(const struct GbFlowAgent *self)
 {
-    const struct GbInstanceList *list = self->view->list;
-    const struct GbInstance *own = NULL;
-
-    /* While a target is being replaced, its address may have an old and a new
-     * entry. The one that is not leaving is preferred. */
-    for (uint32_t i = 0; i < list->count; i++) {
-        const struct GbInstance *instance = &list->instances[i];
-
-        if (instance->address.ipv4 == self->config.own_ipv4 &&
-            instance->service_id == self->config.service_id &&
-            (own == NULL || own->is_leaving)) {
-            own = instance;
-        }
-    }
-    return own;
+    const struct GbInstance *own =
+        GbRoutingView_FindIpv4(self->view, self->config.own_ipv4);
+
+    return own != NULL && own->service_id == self->config.service_id ? own
+                                                                     : NULL;
 }
 
 /* Returns true if the packet retransmits data to which the target has already
--- a/src/coordination/flows/view_store.c
+++ b/src/coordination/flows/view_store.c
@@ -23,10 +23,69 @@
     return !entry->is_removed || entry->use_until_us != 0;
 }
 
-/* Stops using removed entries with this address, because a new entry has taken
- * it over. */
+/* Returns true if an entry takes the place of another one at its address. An
+ * entry of another writer may name a service that does not exist; it must not
+ * take the place of an instance that serves a route. */
+static bool
+supersedes(const struct GbViewStore *self, const struct GbViewEntry *entry,
+           const struct GbViewEntry *other)
+{
+    bool is_routed =
+        GbRouteTable_HasService(self->routes, entry->instance.service_id);
+    bool is_other_routed =
+        GbRouteTable_HasService(self->routes, other->instance.service_id);
+
+    if (is_routed != is_other_routed) {
+        return is_routed;
+    }
+    return entry->instance.revision > other->instance.revision;
+}
+
+static bool
+shares_ipv4(const struct GbViewStore *self, const struct GbViewEntry *entry)
+{
+    gpointer key = GUINT_TO_POINTER(entry->instance.address.ipv4);
+
+    return GPOINTER_TO_INT(g_hash_table_lookup(self->counts_by_ipv4, key)) > 1;
+}
+
+/* Returns the entries that represent the IPv4 addresses with several entries,
+ * by address. */
+static GHashTable *
+choose_by_ipv4(const struct GbViewStore *self)
+{
+    GHashTable *chosen = g_hash_table_new(NULL, NULL);
+
+    for (guint i = 0; i < self->entries->len; i++) {
+        struct GbViewEntry *entry = self->entries->pdata[i];
+        gpointer key = GUINT_TO_POINTER(entry->instance.address.ipv4);
+        const struct GbViewEntry *other;
+
+        if (!is_in_use(entry) || !shares_ipv4(self, entry)) {
+            continue;
+        }
+        other = g_hash_table_lookup(chosen, key);
+        if (other == NULL || supersedes(self, entry, other)) {
+            g_hash_table_insert(chosen, key, entry);
+        }
+    }
+    return chosen;
+}
+
+/* Returns true if another entry represents the address of this one. */
+static bool
+is_superseded(GHashTable *chosen, const struct GbViewEntry *entry)
+{
+    gpointer key = GUINT_TO_POINTER(entry->instance.address.ipv4);
+    const struct GbViewEntry *other = g_hash_table_lookup(chosen, key);
+
+    return other != NULL && other != entry;
+}
+
+/* Stops using removed entries whose address another entry represents, so that
+ * they are not used again when that one is removed. */
 static void
-stop_using_address(struct GbViewStore *self, const struct GbAddress *address)
+stop_using_superseded(struct GbViewStore *self, GHashTable *chosen)
 {
     GHashTableIter tombstones;
     gpointer value;
@@ -35,7 +94,7 @@
     while (g_hash_table_iter_next(&tombstones, &value, NULL)) {
         struct GbViewEntry *entry = value;
 
-        if (GbAddress_Equal(&entry->instance.address, address)) {
+        if (is_superseded(chosen, entry)) {
             entry->use_until_us = 0;
         }
     }
@@ -117,7 +176,7 @@
 }
 
 static struct GbInstanceList *
-list_in_use(const struct GbViewStore *self)
+list_in_use(const struct GbViewStore *self, GHashTable *chosen)
 {
     struct GbInstanceList *list = GbInstanceList_New();
 
@@ -126,7 +185,7 @@
     for (guint i = 0; i < self->entries->len; i++) {
         const struct GbViewEntry *entry = self->entries->pdata[i];
 
-        if (is_in_use(entry)) {
+        if (is_in_use(entry) && !is_superseded(chosen, entry)) {
             list->instances[list->count++] = entry->instance;
         }
     }
@@ -196,7 +255,6 @@
     }
     if (entry == NULL) {
         entry = add_entry(self, instance);
-        stop_using_address(self, &instance->address);
         self->is_changed = true;
     }
     else if (entry->is_removed ||
@@ -209,6 +267,7 @@
     if (entry->is_removed) {
         g_hash_table_remove(self->tombstones, entry);
     }
+    entry->instance.revision = revision;
     entry->revision = revision;
     entry->is_removed = false;
     entry->use_until_us = 0;
@@ -234,7 +293,8 @@
         remove_unlisted(self, list);
     }
     for (uint32_t i = 0; i < list->count; i++) {
-        GbViewStore_PutInstance(self, &list->instances[i], list->version);
+        GbViewStore_PutInstance(self, &list->instances[i],
+                                list->instances[i].revision);
     }
     if (!self->has_list) {
         self->has_list = true;
@@ -261,11 +321,15 @@
 {
     struct GbInstanceList *list;
     struct GbRoutingView *view;
+    GHashTable *chosen;
 
     if (!self->is_changed || !GbViewStore_IsComplete(self)) {
         return NULL;
     }
-    list = list_in_use(self);
+    chosen = choose_by_ipv4(self);
+    stop_using_superseded(self, chosen);
+    list = list_in_use(self, chosen);
+    g_hash_table_destroy(chosen);
     view = GbRoutingView_New(self->routes, list);
     GbInstanceList_Unref(list);
     self->is_changed = false;
--- a/src/coordination/flows/view_store.h
+++ b/src/coordination/flows/view_store.h
@@ -10,7 +10,7 @@
 /* Entry of the instance list, or the tombstone of a removed one. */
 struct GbViewEntry {
     struct GbInstance instance;
-    /* Platform revision of the last change. */
+    /* Platform revision of the last change, which may be its removal. */
     uint64_t revision;
     bool is_removed;
     /* Monotonic time until which a removed entry is still used, because it may
@@ -24,7 +24,11 @@
 
 /* Versioned routes and instance entries of a process. Neither ever goes back
  * to an older state: routes are replaced only by those of a higher version,
- * and an entry only by one of a higher revision. */
+ * and an entry only by one of a higher revision.
+ *
+ * An IPv4 address has one instance at a time. The entry of an instance that
+ * crashed stays registered until it expires, beside the one of the instance
+ * that started in its place; only the one written last is used. */
 struct GbViewStore {
     struct GbClock *clock;
     struct GbRouteTable *routes;
@@ -67,8 +71,9 @@
 void GbViewStore_RemoveInstance(struct GbViewStore *self, uint64_t instance_id,
                                 uint64_t revision);
 
-/* Applies a full list, whose version is the revision at which it was read.
- * Removes the entries that are not in the list and are not newer. */
+/* Applies a full list, whose version is the revision at which it was read and
+ * whose instances have their own revisions. Removes the entries that are not
+ * in the list and are not newer. */
 void GbViewStore_SetInstances(struct GbViewStore *self,
                               const struct GbInstanceList *list);
 
--- a/src/protocol/view_delta.c
+++ b/src/protocol/view_delta.c
@@ -245,8 +245,11 @@
     list->count = delta->entries->len;
     list->instances = g_new(struct GbInstance, list->count);
     for (uint32_t i = 0; i < list->count; i++) {
-        list->instances[i] =
-            g_array_index(delta->entries, struct GbViewEntry, i).instance;
+        const struct GbViewEntry *entry =
+            &g_array_index(delta->entries, struct GbViewEntry, i);
+
+        list->instances[i] = entry->instance;
+        list->instances[i].revision = entry->revision;
     }
     GbViewStore_SetInstances(store, list);
     GbInstanceList_Unref(list);
--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -26,6 +26,9 @@
     /* Remaining time for which the target warms up and is slow. */
     uint32_t cold_ms;
     bool is_leaving;
+    /* Platform revision at which the entry was written; only set in lists for
+     * packet forwarding. Not compared by GbInstance_Equal. */
+    uint64_t revision;
 };
 
 /* Instance list of the platform, decoded. Immutable once published; shared
@@ -41,7 +44,7 @@
 /* Returns the id of an instance with this name. */
 uint64_t GbInstance_IdOfName(const char *name);
 
-/* Returns true if all fields are equal. */
+/* Returns true if all fields but the revision are equal. */
 bool GbInstance_Equal(const struct GbInstance *a, const struct GbInstance *b);
 
 /* Allocates an empty list with one reference. */
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -62,6 +62,17 @@
     g_free(self);
 }
 
+bool
+GbRouteTable_HasService(const struct GbRouteTable *self, uint32_t service_id)
+{
+    for (uint32_t i = 0; i < self->count; i++) {
+        if (self->routes[i].service_id == service_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const struct GbRoute *
 GbRouteTable_Find(const struct GbRouteTable *self,
                   const struct GbAddress *address)
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -51,6 +51,10 @@
 /* Drops a reference; the last one frees the table. self may be NULL. */
 void GbRouteTable_Unref(struct GbRouteTable *self);
 
+/* Returns true if any route leads to this service. */
+bool GbRouteTable_HasService(const struct GbRouteTable *self,
+                             uint32_t service_id);
+
 /* Returns the route of an address and port; NULL if there is none. */
 const struct GbRoute *GbRouteTable_Find(const struct GbRouteTable *self,
                                         const struct GbAddress *address);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -33,6 +33,10 @@
 #define GOOD_HOST                                                             \
     HOST(FIELD_SERVICE, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS, FIELD_STATE,  \
          FIELD_COLD)
+/* Host at an address of its own, beside the entries that are judged. */
+#define OTHER_HOST(state)                                                     \
+    HOST(FIELD_SERVICE, "\"address\":\"10.1.0.6:8080\"", FIELD_ZONE,          \
+         FIELD_SLOTS, state, FIELD_COLD)
 #define WITH_SERVICE(field)                                                   \
     HOST(field, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS, FIELD_STATE,          \
          FIELD_COLD)
@@ -155,7 +159,7 @@
 open_fixture(struct GbWatcherFixture *fixture)
 {
     fixture->store.host_key = GOOD_KEY;
-    fixture->store.host_value = GOOD_HOST;
+    fixture->store.host_value = OTHER_HOST(FIELD_STATE);
     fixture->store.config_value = CONFIG;
     fixture->store.config_revision = 5;
     fixture->store.revision = 10;
@@ -188,7 +192,7 @@
     /* The odd entry is written once more, then the good host changes. */
     const struct GbFakeWatch watches[] = {
         {HTTP_OK, 11, ODD_KEY, row->size_bytes > 0 ? "" : value->str},
-        {HTTP_OK, 12, GOOD_KEY, WITH_STATE("\"draining\"")},
+        {HTTP_OK, 12, GOOD_KEY, OTHER_HOST("\"state\":\"draining\"")},
     };
     struct GbWatcherFixture fixture = {.store = {.items = &odd,
                                                  .item_count = 1,
--- a/tests/test_view_gossip.c
+++ b/tests/test_view_gossip.c
@@ -128,6 +128,7 @@
         instance->service_id = GbRouteTable_ServiceId(instance->service);
         instance->address.ipv4 = FIRST_IPV4 + i;
         instance->weight = 2;
+        instance->revision = list->version;
     }
     GbViewStore_SetInstances(&node->store, list);
     GbInstanceList_Unref(list);
--- a/tests/test_view_store.c
+++ b/tests/test_view_store.c
@@ -48,6 +48,7 @@
     list->count = 1;
     list->instances = g_new(struct GbInstance, 1);
     list->instances[0] = make_instance("one", "hints", 1, false);
+    list->instances[0].revision = list->version;
     GbViewStore_SetInstances(&fixture->store, list);
     GbInstanceList_Unref(list);
     set_routes(fixture, 5);
@@ -137,6 +138,173 @@
     GbViewStore_Finish(&fixture.store);
 }
 
+enum EntrySource { EVENTS, LATE_EVENT, LIST, FULL_DELTA, DELTA };
+
+struct CrashCase {
+    const char *name;
+    enum EntrySource source;
+};
+
+static const struct CrashCase crash_cases[] = {
+    {"from events", EVENTS},
+    {"the old entry arrives after the new one", LATE_EVENT},
+    {"from a list of the platform", LIST},
+    {"from a full list of a peer", FULL_DELTA},
+    {"from the changes of a peer", DELTA},
+};
+
+static void
+put_entries(struct GbViewStore *store, enum EntrySource source)
+{
+    struct GbInstance old = make_instance("crashed", "hints", 2, false);
+    struct GbInstance new = make_instance("second", "hints", 2, true);
+    struct GbInstanceList *list;
+
+    old.revision = 11;
+    new.revision = 13;
+    if (source != LIST) {
+        GbViewStore_PutInstance(store, source == LATE_EVENT ? &new : &old,
+                                source == LATE_EVENT ? 13 : 11);
+        GbViewStore_PutInstance(store, source == LATE_EVENT ? &old : &new,
+                                source == LATE_EVENT ? 11 : 13);
+        GbViewStore_AdvanceRevision(store, 13);
+        return;
+    }
+    list = GbInstanceList_New();
+    list->version = 14;
+    list->count = 3;
+    list->instances = g_new(struct GbInstance, list->count);
+    list->instances[0] = make_instance("one", "hints", 1, false);
+    list->instances[0].revision = 10;
+    list->instances[1] = new;
+    list->instances[2] = old;
+    GbViewStore_SetInstances(store, list);
+    GbInstanceList_Unref(list);
+}
+
+/* Copies the entries of the fixture to a peer. */
+static void
+pull_entries(struct Fixture *peer, const struct Fixture *sender,
+             enum EntrySource source)
+{
+    struct GbViewVersion since = {source == DELTA ? 10 : 0, 5};
+    GByteArray *delta = GbViewDelta_Encode(&sender->store, &since);
+
+    init_fixture(peer);
+    g_assert_cmpint(GbViewDelta_Apply(&peer->store, delta->data, delta->len),
+                    ==, GB_PROTOCOL_OK);
+    g_byte_array_free(delta, TRUE);
+}
+
+static struct GbRoutingView *
+take_view(struct Fixture *fixture)
+{
+    fixture->store.is_changed = true;
+    return GbViewStore_TakeView(&fixture->store);
+}
+
+/* Fault pattern: a host crashes, starts again under another id and is drained
+ * while its old entry has not expired. Guards against new flows that the old
+ * entry attracts to the draining host. */
+static void
+test_drain_after_crash(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(crash_cases); i++) {
+        const struct CrashCase *row = &crash_cases[i];
+        struct Fixture fixture;
+        struct Fixture peer;
+        struct GbRoutingView *view;
+        const struct GbInstance *found;
+
+        g_test_message("%s", row->name);
+        init_fixture(&fixture);
+        put_entries(&fixture.store, row->source);
+        pull_entries(&peer, &fixture, row->source);
+        view = take_view(row->source >= FULL_DELTA ? &peer : &fixture);
+        g_assert_cmpuint(view->list->count, ==, 2);
+        found = GbRoutingView_FindIpv4(view, 2);
+        g_assert_cmpstr(found->name, ==, "second");
+        g_assert_true(found->is_leaving);
+        GbRoutingView_Unref(view);
+        GbViewStore_Finish(&peer.store);
+        GbViewStore_Finish(&fixture.store);
+    }
+}
+
+struct SharedAddressCase {
+    const char *name;
+    /* Entries put at address 1 after that of instance "one", which serves the
+     * only route. */
+    const char *service;
+    /* The new entry, and then "one", are removed. */
+    bool is_new_removed;
+    bool is_old_removed;
+    /* Name of the instance in use; NULL if there is none. */
+    const char *expected;
+};
+
+static const struct SharedAddressCase shared_address_cases[] = {
+    {"the address is reused", "packs", false, false, "two"},
+    {"the old entry expires", "packs", false, true, "two"},
+    {"another writer names an unknown service", "unknown", false, false,
+     "one"},
+    {"another writer's entry is removed", "unknown", true, false, "one"},
+    {"a copy of another writer is removed", "hints", true, false, "one"},
+    {"both are removed, the superseded one last", "hints", true, true, NULL},
+};
+
+static void
+set_routed_services(struct Fixture *fixture)
+{
+    struct GbRoute routes[] = {
+        {.address = {1, 1}, .service_id = GbRouteTable_ServiceId("hints")},
+        {.address = {1, 2}, .service_id = GbRouteTable_ServiceId("packs")},
+    };
+    struct GbRouteTable *table =
+        GbRouteTable_New(6, 0, routes, G_N_ELEMENTS(routes));
+
+    GbViewStore_SetRoutes(&fixture->store, table);
+    GbRouteTable_Unref(table);
+}
+
+/* Several entries name one address. Guards against an address with two
+ * instances, against a live instance that is lost because of an entry of
+ * another writer, and against one that is used again after it was replaced. */
+static void
+test_entries_share_an_address(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(shared_address_cases); i++) {
+        const struct SharedAddressCase *row = &shared_address_cases[i];
+        struct GbInstance next = make_instance("two", row->service, 1, true);
+        struct Fixture fixture;
+        struct GbRoutingView *view;
+
+        g_test_message("%s", row->name);
+        init_fixture(&fixture);
+        set_routed_services(&fixture);
+        GbViewStore_PutInstance(&fixture.store, &next, 11);
+        GbRoutingView_Unref(take_view(&fixture));
+        if (row->is_old_removed) {
+            GbViewStore_RemoveInstance(&fixture.store,
+                                       GbInstance_IdOfName("one"), 12);
+            GbRoutingView_Unref(take_view(&fixture));
+        }
+        if (row->is_new_removed) {
+            GbViewStore_RemoveInstance(&fixture.store, next.id, 13);
+        }
+        view = take_view(&fixture);
+        if (row->expected == NULL) {
+            g_assert_cmpuint(view->list->count, ==, 0);
+        }
+        else {
+            g_assert_cmpuint(view->list->count, ==, 1);
+            g_assert_cmpstr(view->list->instances[0].name, ==, row->expected);
+        }
+        GbRoutingView_Unref(view);
+        GbViewStore_Finish(&fixture.store);
+    }
+}
+
 /* Fault pattern: older responses of the platform arrive after newer ones.
  * Guards against a view that returns to an older state. */
 static void
@@ -265,6 +433,9 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/view-store/entries-expire", test_entries_expire);
     g_test_add_func("/view-store/address-is-reused", test_address_is_reused);
+    g_test_add_func("/view-store/drain-after-crash", test_drain_after_crash);
+    g_test_add_func("/view-store/entries-share-an-address",
+                    test_entries_share_an_address);
     g_test_add_func("/view-store/out-of-order-updates",
                     test_out_of_order_updates);
     g_test_add_func("/view-store/delta", test_delta);
