Keep lookups until the first view instead of resetting clients

Cause: a lookup before the first view queries no agent, and no negative replies to no queries counted as proof that nobody has the flow.

All logged lines event=lost come from the restarted agent, have routes=0 and stand between its lines started and view_pulled. Ruled out: answers of agents that had restarted too, since no notice was sent before the first view.

Fix: such a lookup waits for the first view and then queries the agents. After 200 ms, when the client repeats the packet, it ends without a reset.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -276,6 +276,7 @@
     GbFlowPool_SetInstances(&self->pool, view->list, self->config.service_id,
                             self->config.own_ipv4, self->config.data_centre,
                             now_us);
+    GbFlowLocation_ReceiveView(self);
 }
 
 void
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -5,6 +5,8 @@
 
 /* Deadline of a lookup: several round trips between data centres. */
 #define LOOKUP_TIMEOUT_US INT64_C(40000)
+/* The client repeats a packet after this time. */
+#define VIEW_WAIT_US INT64_C(200000)
 /* After this time, an agent that restarted while its target kept running has
  * seen a packet of each active flow. */
 #define ADOPTION_MAX_US INT64_C(6000000)
@@ -58,7 +60,8 @@
 static void
 fail_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
 {
-    bool is_certain = lookup->not_owned_count == lookup->queried_count &&
+    bool is_certain = !lookup->is_awaiting_view &&
+                      lookup->not_owned_count == lookup->queried_count &&
                       lookup->queried_count < GB_FLOW_LOOKUP_AGENTS_MAX;
 
     GbCounters_Add(self->counters, GB_COUNTER_FLOWS_NOT_LOCATED, 1);
@@ -107,8 +110,7 @@
     uint32_t queried = 0;
 
     notice.service_id = self->config.service_id;
-    for (uint32_t i = 0; self->view != NULL && i < self->view->list->count;
-         i++) {
+    for (uint32_t i = 0; i < self->view->list->count; i++) {
         const struct GbInstance *instance = &self->view->list->instances[i];
 
         if (instance->service_id != self->config.service_id ||
@@ -125,6 +127,18 @@
     return queried;
 }
 
+static void
+start_queries(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+              int64_t now_us)
+{
+    lookup->is_awaiting_view = false;
+    lookup->deadline_us = now_us + LOOKUP_TIMEOUT_US;
+    lookup->queried_count = query_agents(self, &lookup->packet.key);
+    if (lookup->queried_count == 0) {
+        end_lookup(self, lookup, now_us);
+    }
+}
+
 void
 GbFlowLocation_StartLookup(struct GbFlowAgent *self, struct GbPacket *packet,
                            uint32_t balancer_ipv4)
@@ -137,16 +151,27 @@
         GbCounters_Add(self->counters, GB_COUNTER_PACKETS_HOPS_EXCEEDED, 1);
         return;
     }
-    lookup =
-        GbFlowLookups_Open(&self->lookups, packet, now_us + LOOKUP_TIMEOUT_US);
+    lookup = GbFlowLookups_Open(&self->lookups, packet, now_us + VIEW_WAIT_US);
     if (lookup == NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_REFUSED, 1);
         return;
     }
     lookup->balancer_ipv4 = balancer_ipv4;
-    lookup->queried_count = query_agents(self, &packet->key);
-    if (lookup->queried_count == 0) {
-        end_lookup(self, lookup, now_us);
+    if (self->view == NULL) {
+        lookup->is_awaiting_view = true;
+        return;
+    }
+    start_queries(self, lookup, now_us);
+}
+
+void
+GbFlowLocation_ReceiveView(struct GbFlowAgent *self)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbFlowLookup *lookup;
+
+    while ((lookup = GbFlowLookups_FindAwaitingView(&self->lookups)) != NULL) {
+        start_queries(self, lookup, now_us);
     }
 }
 
--- a/src/coordination/flows/flow_location.h
+++ b/src/coordination/flows/flow_location.h
@@ -9,12 +9,20 @@
  * packet, and their target accepts or returns it. If nobody has the flow, the
  * client is reset. balancer_ipv4 is 0 if unknown.
  *
+ * Before the first view, the agents of the service are not known. The packet
+ * is kept for the time after which the client repeats it; if no view arrives
+ * meanwhile, it is dropped without a reset.
+ *
  * Handles an outage of many or all processes, after which no agent knows which
  * flows its target still has and clients wait on flows that are lost. */
 void GbFlowLocation_StartLookup(struct GbFlowAgent *self,
                                 struct GbPacket *packet,
                                 uint32_t balancer_ipv4);
 
+/* Starts the lookups that were waiting for the first view. Call this when a
+ * view has been set. */
+void GbFlowLocation_ReceiveView(struct GbFlowAgent *self);
+
 /* Replies to another agent's query for the owner of a flow. */
 void GbFlowLocation_ReplyToQuery(struct GbFlowAgent *self, uint32_t from_ipv4,
                                  const struct GbFlowNotice *notice);
--- a/src/coordination/flows/flow_lookup.c
+++ b/src/coordination/flows/flow_lookup.c
@@ -60,6 +60,7 @@
     lookup->not_owned_count = 0;
     lookup->unsure_count = 0;
     lookup->is_probing = false;
+    lookup->is_awaiting_view = false;
     lookup->deadline_us = deadline_us;
     self->open_count++;
     return lookup;
@@ -72,6 +73,20 @@
     self->open_count--;
 }
 
+struct GbFlowLookup *
+GbFlowLookups_FindAwaitingView(struct GbFlowLookups *self)
+{
+    if (self->open_count == 0) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < GB_FLOW_LOOKUPS_MAX; i++) {
+        if (self->items[i].is_open && self->items[i].is_awaiting_view) {
+            return &self->items[i];
+        }
+    }
+    return NULL;
+}
+
 struct GbFlowLookup *
 GbFlowLookups_FindExpired(struct GbFlowLookups *self, int64_t now_us)
 {
--- a/src/coordination/flows/flow_lookup.h
+++ b/src/coordination/flows/flow_lookup.h
@@ -25,6 +25,8 @@
     uint32_t unsure_count;
     /* The packet was sent to the targets of these agents. */
     bool is_probing;
+    /* No agent was queried yet, because the first view has not arrived. */
+    bool is_awaiting_view;
     /* Monotonic time at which the lookup ends. */
     int64_t deadline_us;
 };
@@ -52,6 +54,10 @@
 void GbFlowLookups_Close(struct GbFlowLookups *self,
                          struct GbFlowLookup *lookup);
 
+/* Returns a lookup that waits for the first view, or NULL. */
+struct GbFlowLookup *
+GbFlowLookups_FindAwaitingView(struct GbFlowLookups *self);
+
 /* Returns a lookup whose deadline has passed, or NULL. */
 struct GbFlowLookup *GbFlowLookups_FindExpired(struct GbFlowLookups *self,
                                                int64_t now_us);
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -210,7 +210,7 @@
 }
 
 void
-GbFlowAgentFixture_Init(struct GbFlowAgentFixture *self, uint32_t pool_size)
+GbFlowAgentFixture_InitWithoutView(struct GbFlowAgentFixture *self)
 {
     struct GbFlowAgentConfig config = {
         .own_ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4,
@@ -225,6 +225,12 @@
     GbCounters_Init(&self->counters);
     GbFlowAgent_Init(&self->agent, &config, &self->recorder.super,
                      &self->clock.super, &self->counters);
+}
+
+void
+GbFlowAgentFixture_Init(struct GbFlowAgentFixture *self, uint32_t pool_size)
+{
+    GbFlowAgentFixture_InitWithoutView(self);
     GbFlowAgent_SetView(&self->agent, GbFlowFixture_NewView(pool_size, 1));
     for (uint32_t i = 1; i < pool_size; i++) {
         GbFlowAgentFixture_ReceiveLoad(self, i, 0);
--- a/tests/support/flow_fixture.h
+++ b/tests/support/flow_fixture.h
@@ -71,6 +71,9 @@
 void GbFlowAgentFixture_Init(struct GbFlowAgentFixture *self,
                              uint32_t pool_size);
 
+/* Initialises agent 0 before it knows any other agent. */
+void GbFlowAgentFixture_InitWithoutView(struct GbFlowAgentFixture *self);
+
 void GbFlowAgentFixture_Finish(struct GbFlowAgentFixture *self);
 
 /* Delivers a load report from the member with this index, which counts from 1.
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -85,6 +85,57 @@
     }
 }
 
+struct FirstViewCase {
+    const char *name;
+    /* Time from the packet to the first view. */
+    int64_t after_us;
+    /* Replies of the members after the view; none if replies is false. */
+    bool has_replies;
+    enum GbFlowNoticeKind reply;
+    uint32_t queries;
+    uint32_t resets;
+};
+
+static const struct FirstViewCase first_view_cases[] = {
+    {"no view within the wait", SECOND, false, 0, 0, 0},
+    {"view, no replies", 100 * MS, false, 0, 2, 0},
+    {"view, no member owns the flow", 100 * MS, true, GB_FLOW_NOTICE_NOT_OWNER,
+     2, 1},
+};
+
+/* Fault pattern: an agent is restarted, no seed answers, and packets of flows
+ * of other targets reach it before its first view. Guards against resets by an
+ * agent that has not queried anybody. */
+static void
+test_packet_before_first_view(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(first_view_cases); i++) {
+        const struct FirstViewCase *row = &first_view_cases[i];
+        struct GbFlowAgentFixture fixture;
+
+        g_test_message("%s", row->name);
+        GbFlowAgentFixture_InitWithoutView(&fixture);
+        GbFlowAgentFixture_ReceiveFromTarget(
+            &fixture, 100, GB_PACKET_ACK | GB_PACKET_RETURNED, 1, 200);
+        GbFlowAgentFixture_Advance(&fixture, row->after_us);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET), ==,
+            0);
+        GbFlowAgent_SetView(&fixture.agent, GbFlowFixture_NewView(3, 1));
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_NOTIFY), ==,
+            row->queries);
+        if (row->has_replies) {
+            answer_query(&fixture, row->reply, 100, 2);
+        }
+        GbFlowAgentFixture_Advance(&fixture, SECOND);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET), ==,
+            row->resets);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 struct ProbeResultCase {
     const char *name;
     /* Replies of the two members after the probe. */
@@ -304,6 +355,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/flow-location/balancer-joins-and-flows-move",
                     test_balancer_joins_and_flows_move);
+    g_test_add_func("/flow-location/packet-before-first-view",
+                    test_packet_before_first_view);
     g_test_add_func("/flow-location/all-agents-restarted",
                     test_all_agents_restarted);
     g_test_add_func("/flow-location/probe-of-own-target",
