Count the replies to a lookup by agent

What callers could see: an open flow is reset although its owner has not replied.

Cause: a lookup counted replies, not agents. A datagram that arrives twice, or the late reply to an earlier lookup of the same flow, stood for an agent that had not replied, and the client was reset. Replies of agents that were not queried counted as well.

Fix: a lookup keeps the agents that it queried with the reply of each.

The new rows failed before: test_flow_location.c:244:test_repeated_replies: assertion failed (GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET) == row->resets): (1 == 0)

--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -61,8 +61,9 @@
 fail_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
 {
     bool is_certain = !lookup->is_awaiting_view &&
-                      lookup->not_owned_count == lookup->queried_count &&
-                      lookup->queried_count < GB_FLOW_LOOKUP_AGENTS_MAX;
+                      lookup->reply_counts[GB_FLOW_LOOKUP_NOT_OWNER] ==
+                          lookup->agent_count &&
+                      lookup->agent_count < GB_FLOW_LOOKUP_AGENTS_MAX;
 
     GbCounters_Add(self->counters, GB_COUNTER_FLOWS_NOT_LOCATED, 1);
     if (is_certain && (lookup->packet.flags & GB_PACKET_RST) == 0) {
@@ -81,10 +82,12 @@
     lookup->deadline_us = now_us + LOOKUP_TIMEOUT_US;
     lookup->packet.hops = GB_FLOW_HOPS_PROBE;
     lookup->packet.service_id = self->config.service_id;
-    for (uint32_t i = 0; i < lookup->unsure_count; i++) {
-        GbCounters_Add(self->counters, GB_COUNTER_FLOW_PROBES_SENT, 1);
-        self->port->klass->forward(self->port, &lookup->packet,
-                                   lookup->unsure_ipv4[i]);
+    for (uint32_t i = 0; i < lookup->agent_count; i++) {
+        if (lookup->agents[i].reply == GB_FLOW_LOOKUP_UNSURE) {
+            GbCounters_Add(self->counters, GB_COUNTER_FLOW_PROBES_SENT, 1);
+            self->port->klass->forward(self->port, &lookup->packet,
+                                       lookup->agents[i].ipv4);
+        }
     }
 }
 
@@ -92,7 +95,8 @@
 end_lookup(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
            int64_t now_us)
 {
-    if (lookup->unsure_count > 0 && !lookup->is_probing) {
+    if (lookup->reply_counts[GB_FLOW_LOOKUP_UNSURE] > 0 &&
+        !lookup->is_probing) {
         start_probes(self, lookup, now_us);
         return;
     }
@@ -100,14 +104,12 @@
 }
 
 /* Queries every agent of the service, not only the members of the pool: with
- * an earlier instance list, the flow may have gone to any of them. Returns the
- * number of agents queried. */
-static uint32_t
-query_agents(struct GbFlowAgent *self, const struct GbFlowKey *key)
+ * an earlier instance list, the flow may have gone to any of them. */
+static void
+query_agents(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
 {
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER_QUERY,
-                                  .key = *key};
-    uint32_t queried = 0;
+                                  .key = lookup->packet.key};
 
     notice.service_id = self->config.service_id;
     for (uint32_t i = 0; i < self->view->list->count; i++) {
@@ -117,14 +119,12 @@
             instance->address.ipv4 == self->config.own_ipv4) {
             continue;
         }
-        if (queried == GB_FLOW_LOOKUP_AGENTS_MAX) {
+        if (!GbFlowLookup_AddAgent(lookup, instance->address.ipv4)) {
             GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_PARTIAL, 1);
             break;
         }
         self->port->klass->notify(self->port, &notice, instance->address.ipv4);
-        queried++;
     }
-    return queried;
 }
 
 static void
@@ -133,8 +133,8 @@
 {
     lookup->is_awaiting_view = false;
     lookup->deadline_us = now_us + LOOKUP_TIMEOUT_US;
-    lookup->queried_count = query_agents(self, &lookup->packet.key);
-    if (lookup->queried_count == 0) {
+    query_agents(self, lookup);
+    if (lookup->agent_count == 0) {
         end_lookup(self, lookup, now_us);
     }
 }
@@ -253,22 +253,13 @@
     self->port->klass->notify(self->port, &reply, from_ipv4);
 }
 
-static void
-record_unsure(struct GbFlowLookup *lookup, uint32_t ipv4)
-{
-    if (!lookup->is_probing &&
-        lookup->unsure_count < GB_FLOW_LOOKUP_AGENTS_MAX) {
-        lookup->unsure_ipv4[lookup->unsure_count++] = ipv4;
-    }
-}
-
 /* Agents that are probed reply a second time. */
 static bool
 have_all_replied(const struct GbFlowLookup *lookup)
 {
-    uint32_t unsure_count = lookup->is_probing ? 0 : lookup->unsure_count;
-
-    return lookup->not_owned_count + unsure_count >= lookup->queried_count;
+    return lookup->reply_counts[GB_FLOW_LOOKUP_NO_REPLY] == 0 &&
+           (!lookup->is_probing ||
+            lookup->reply_counts[GB_FLOW_LOOKUP_UNSURE] == 0);
 }
 
 void
@@ -297,10 +288,10 @@
         forward_and_close(self, lookup, notice->owner_ipv4);
         return;
     case GB_FLOW_NOTICE_OWNER_UNKNOWN:
-        record_unsure(lookup, from_ipv4);
+        GbFlowLookup_RecordReply(lookup, from_ipv4, GB_FLOW_LOOKUP_UNSURE);
         break;
     default:
-        lookup->not_owned_count++;
+        GbFlowLookup_RecordReply(lookup, from_ipv4, GB_FLOW_LOOKUP_NOT_OWNER);
         break;
     }
     if (have_all_replied(lookup)) {
--- a/src/coordination/flows/flow_lookup.c
+++ b/src/coordination/flows/flow_lookup.c
@@ -56,9 +56,8 @@
     memcpy(lookup->bytes, packet->bytes, packet->size_bytes);
     lookup->packet.bytes = lookup->bytes;
     lookup->balancer_ipv4 = 0;
-    lookup->queried_count = 0;
-    lookup->not_owned_count = 0;
-    lookup->unsure_count = 0;
+    lookup->agent_count = 0;
+    memset(lookup->reply_counts, 0, sizeof(lookup->reply_counts));
     lookup->is_probing = false;
     lookup->is_awaiting_view = false;
     lookup->deadline_us = deadline_us;
@@ -66,6 +65,39 @@
     return lookup;
 }
 
+bool
+GbFlowLookup_AddAgent(struct GbFlowLookup *self, uint32_t ipv4)
+{
+    if (self->agent_count == GB_FLOW_LOOKUP_AGENTS_MAX) {
+        return false;
+    }
+    self->agents[self->agent_count].ipv4 = ipv4;
+    self->agents[self->agent_count].reply = GB_FLOW_LOOKUP_NO_REPLY;
+    self->agent_count++;
+    self->reply_counts[GB_FLOW_LOOKUP_NO_REPLY]++;
+    return true;
+}
+
+bool
+GbFlowLookup_RecordReply(struct GbFlowLookup *self, uint32_t ipv4,
+                         enum GbFlowLookupReply reply)
+{
+    for (uint32_t i = 0; i < self->agent_count; i++) {
+        struct GbFlowLookupAgent *agent = &self->agents[i];
+
+        if (agent->ipv4 != ipv4) {
+            continue;
+        }
+        if (reply > agent->reply) {
+            self->reply_counts[agent->reply]--;
+            self->reply_counts[reply]++;
+            agent->reply = reply;
+        }
+        return true;
+    }
+    return false;
+}
+
 void
 GbFlowLookups_Close(struct GbFlowLookups *self, struct GbFlowLookup *lookup)
 {
--- a/src/coordination/flows/flow_lookup.h
+++ b/src/coordination/flows/flow_lookup.h
@@ -9,6 +9,19 @@
 #define GB_FLOW_LOOKUP_AGENTS_MAX 256
 #define GB_FLOW_LOOKUP_PACKET_BYTES 1280
 
+/* What a queried agent has replied. */
+enum GbFlowLookupReply {
+    GB_FLOW_LOOKUP_NO_REPLY,
+    /* The agent cannot tell whether its target has the flow. */
+    GB_FLOW_LOOKUP_UNSURE,
+    GB_FLOW_LOOKUP_NOT_OWNER
+};
+
+struct GbFlowLookupAgent {
+    uint32_t ipv4;
+    enum GbFlowLookupReply reply;
+};
+
 /* Packet of a flow that this agent does not own, kept while the other agents
  * of the service are queried for the owner. */
 struct GbFlowLookup {
@@ -16,14 +29,12 @@
     struct GbPacket packet;
     uint8_t bytes[GB_FLOW_LOOKUP_PACKET_BYTES];
     uint32_t balancer_ipv4;
-    /* Agents queried, and those that replied that they do not own the flow. */
-    uint32_t queried_count;
-    uint32_t not_owned_count;
-    /* Agents whose flow tables may be incomplete because they started
-     * recently. */
-    uint32_t unsure_ipv4[GB_FLOW_LOOKUP_AGENTS_MAX];
-    uint32_t unsure_count;
-    /* The packet was sent to the targets of these agents. */
+    /* Agents queried, each once. */
+    struct GbFlowLookupAgent agents[GB_FLOW_LOOKUP_AGENTS_MAX];
+    uint32_t agent_count;
+    /* Number of these agents by reply. */
+    uint32_t reply_counts[GB_FLOW_LOOKUP_NOT_OWNER + 1];
+    /* The packet was sent to the targets of the agents that are unsure. */
     bool is_probing;
     /* No agent was queried yet, because the first view has not arrived. */
     bool is_awaiting_view;
@@ -51,6 +62,14 @@
                                         const struct GbPacket *packet,
                                         int64_t deadline_us);
 
+/* Adds an agent that is queried. Returns false if there are too many. */
+bool GbFlowLookup_AddAgent(struct GbFlowLookup *self, uint32_t ipv4);
+
+/* Records the reply of an agent. Returns false if it was not queried. A reply
+ * that is repeated, or less certain than an earlier one, changes nothing. */
+bool GbFlowLookup_RecordReply(struct GbFlowLookup *self, uint32_t ipv4,
+                              enum GbFlowLookupReply reply);
+
 void GbFlowLookups_Close(struct GbFlowLookups *self,
                          struct GbFlowLookup *lookup);
 
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -194,6 +194,60 @@
     }
 }
 
+struct RepeatedReplyCase {
+    const char *name;
+    /* Members that reply, one after the other, and what the first time. */
+    uint32_t members[3];
+    enum GbFlowNoticeKind first;
+    uint32_t resets;
+};
+
+static const struct RepeatedReplyCase repeated_reply_cases[] = {
+    {"one member's reply arrives twice",
+     {1, 1, 0},
+     GB_FLOW_NOTICE_NOT_OWNER,
+     0},
+    {"both members reply, one twice", {1, 1, 2}, GB_FLOW_NOTICE_NOT_OWNER, 1},
+    {"one member is unsure, the other's reply arrives twice",
+     {1, 2, 2},
+     GB_FLOW_NOTICE_OWNER_UNKNOWN,
+     0},
+    {"a listed agent that was not queried replies",
+     {1, 0, 0},
+     GB_FLOW_NOTICE_NOT_OWNER,
+     0},
+};
+
+/* Fault pattern: a reply is repeated by the network, or arrives late for an
+ * earlier lookup of the flow. Guards against a reset while a member that has
+ * not replied may own the flow. */
+static void
+test_repeated_replies(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(repeated_reply_cases); i++) {
+        const struct RepeatedReplyCase *row = &repeated_reply_cases[i];
+        struct GbFlowAgentFixture fixture;
+
+        g_test_message("%s", row->name);
+        GbFlowAgentFixture_Init(&fixture, 3);
+        GbFlowAgentFixture_ReceiveFromTarget(
+            &fixture, 100, GB_PACKET_ACK | GB_PACKET_RETURNED, 1, 200);
+        for (size_t n = 0; n < G_N_ELEMENTS(row->members); n++) {
+            struct GbFlowNotice notice = make_notice(
+                n == 0 ? row->first : GB_FLOW_NOTICE_NOT_OWNER, 100);
+
+            GbFlowAgent_ReceiveNotice(
+                &fixture.agent, GB_FLOW_FIXTURE_AGENT_IPV4 + row->members[n],
+                &notice);
+        }
+        GbFlowAgentFixture_Advance(&fixture, 100 * MS);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET), ==,
+            row->resets);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 struct ProbedTargetCase {
     const char *name;
     uint8_t flags;
@@ -359,6 +413,7 @@
                     test_packet_before_first_view);
     g_test_add_func("/flow-location/all-agents-restarted",
                     test_all_agents_restarted);
+    g_test_add_func("/flow-location/repeated-replies", test_repeated_replies);
     g_test_add_func("/flow-location/probe-of-own-target",
                     test_probe_of_own_target);
     g_test_add_func("/flow-location/list-changes-in-a-large-service",
