Let a restarted agent deny a flow only once it may be discarded

Cause: the agent took its flow table for complete 6 s after its start. A flow that pauses for longer has had no packet by then, so the agent replied that it is not the owner, and with the same reply of all others the client was reset.

Fix: the table counts as complete when a flow without a packet since the start may be discarded: after the idle timeout of the document or the greatest age of a flow, which the settings give. Until then the agent replies that it cannot tell, and its target is probed. A table that was full counts as incomplete in the same way.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -155,6 +155,7 @@
     }
     if (flow == NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_FLOWS_TABLE_FULL, 1);
+        GbFlowAgent_MarkIncomplete(self, now_us);
         return NULL;
     }
     flow->state = GB_PACKET_FLOW_OPEN;
@@ -175,6 +176,37 @@
     self->port->klass->record_decision(self->port, decision);
 }
 
+/* The document limits the time without packets, and the platform the age of a
+ * flow, which bounds that time as well. */
+static int64_t
+get_idle_limit_us(const struct GbFlowAgent *self)
+{
+    int64_t idle_us = self->view->routes->idle_timeout_ms * US_PER_MS;
+
+    return idle_us > 0 ? MIN(idle_us, self->config.flow_lifetime_us)
+                       : self->config.flow_lifetime_us;
+}
+
+/* A flow of before the start that has had no packet since then has been idle
+ * for at least the time since the start. */
+static void
+update_idle_limit(struct GbFlowAgent *self)
+{
+    int64_t limit_us = get_idle_limit_us(self);
+
+    if (self->idle_limit_us == 0) {
+        self->complete_from_us = self->started_us + limit_us;
+    }
+    self->idle_limit_us = limit_us;
+}
+
+void
+GbFlowAgent_MarkIncomplete(struct GbFlowAgent *self, int64_t now_us)
+{
+    self->complete_from_us =
+        MAX(self->complete_from_us, now_us + self->idle_limit_us);
+}
+
 void
 GbFlowAgent_RecordDecision(struct GbFlowAgent *self,
                            enum GbFlowDecisionKind kind,
@@ -239,6 +271,7 @@
     self->clock = clock;
     self->counters = counters;
     self->started_us = GbClock_MonotonicUs(clock);
+    self->complete_from_us = INT64_MAX;
     self->warmup_end_us = INT64_MIN;
     self->next_report_us = self->started_us;
     self->next_balancer_report_us = self->started_us;
@@ -269,6 +302,7 @@
 
     GbRoutingView_Unref(self->view);
     self->view = view;
+    update_idle_limit(self);
     self->own = find_own(self);
     if (self->own != NULL) {
         self->warmup_end_us = now_us + self->own->cold_ms * US_PER_MS;
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -36,6 +36,8 @@
     char data_centre[GB_NAME_BYTES];
     /* Maximum number of flows in the flow table. */
     uint32_t flow_limit;
+    /* Age after which a flow may be discarded. */
+    int64_t flow_lifetime_us;
 };
 
 /* Packet handling of the agent beside a target. Decides which flows go to its
@@ -65,6 +67,12 @@
     /* Flows whose request the target is processing or is about to receive. */
     uint32_t in_flight;
     int64_t started_us;
+    /* Time without packets after which a flow may be discarded; 0 before the
+     * first view. */
+    int64_t idle_limit_us;
+    /* Monotonic time from which the flow table has every flow that the target
+     * may have: by then, those that it lacks may be discarded. */
+    int64_t complete_from_us;
     /* Monotonic time at which the target's warm-up ends. */
     int64_t warmup_end_us;
     /* Monotonic times of the next reports to the pool and the balancers. */
@@ -75,6 +83,9 @@
     bool is_draining;
 };
 
+/* Records that the target may have a flow that the table lacks. */
+void GbFlowAgent_MarkIncomplete(struct GbFlowAgent *self, int64_t now_us);
+
 /* Passes a decision to the port for logging. */
 void GbFlowAgent_RecordDecision(struct GbFlowAgent *self,
                                 enum GbFlowDecisionKind kind,
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -7,9 +7,6 @@
 #define LOOKUP_TIMEOUT_US INT64_C(40000)
 /* The client repeats a packet after this time. */
 #define VIEW_WAIT_US INT64_C(200000)
-/* After this time, an agent that restarted while its target kept running has
- * seen a packet of each active flow. */
-#define ADOPTION_MAX_US INT64_C(6000000)
 
 /* Only listed processes may name the owner of a flow, or be named as it. */
 static bool
@@ -24,7 +21,7 @@
 static bool
 has_complete_flows(const struct GbFlowAgent *self, int64_t now_us)
 {
-    return now_us - self->started_us >= ADOPTION_MAX_US;
+    return now_us >= self->complete_from_us;
 }
 
 static void
--- a/tests/support/flow_fixture.c
+++ b/tests/support/flow_fixture.c
@@ -7,6 +7,7 @@
 #define REPORT_PERIOD_US 100000
 #define LATENCY_GOAL_MS 100
 #define TIMEOUT_MS 1000
+#define FLOW_LIFETIME_US INT64_C(60000000)
 #define FLOWS_MAX 8192
 
 static struct GbFlowAction *
@@ -217,6 +218,7 @@
         .service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE),
         .data_centre = "a",
         .flow_limit = FLOWS_MAX,
+        .flow_lifetime_us = FLOW_LIFETIME_US,
     };
 
     memset(self, 0, sizeof(*self));
--- a/tests/support/flow_pool_simulation.c
+++ b/tests/support/flow_pool_simulation.c
@@ -14,6 +14,7 @@
 #define TARGET_SEQUENCE 5000
 #define REQUEST_BYTES 200
 #define RESPONSE_BYTES 600
+#define FLOW_LIFETIME_US INT64_C(60000000)
 #define FLOWS_MAX 8192
 
 static const int64_t syn_delays_ms[] = {0, 200, 600};
@@ -397,6 +398,7 @@
         .service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE),
         .data_centre = "a",
         .flow_limit = FLOWS_MAX,
+        .flow_lifetime_us = FLOW_LIFETIME_US,
     };
 
     member->super.klass = &port_class;
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -377,6 +377,55 @@
     GbFlowAgentFixture_Finish(&fixture);
 }
 
+struct RestartedAgentCase {
+    const char *name;
+    uint32_t idle_timeout_ms;
+    /* Time from the start of the agent to the query. */
+    int64_t uptime_us;
+    enum GbFlowNoticeKind expected;
+};
+
+static const struct RestartedAgentCase restarted_agent_cases[] = {
+    {"7 s after the start, limit of 15 s", 15000, 7 * SECOND,
+     GB_FLOW_NOTICE_OWNER_UNKNOWN},
+    {"14.9 s after the start, limit of 15 s", 15000, 14900 * MS,
+     GB_FLOW_NOTICE_OWNER_UNKNOWN},
+    {"idle for longer than the limit", 15000, 15 * SECOND,
+     GB_FLOW_NOTICE_NOT_OWNER},
+    {"no limit of the document", 0, 50 * SECOND, GB_FLOW_NOTICE_OWNER_UNKNOWN},
+    {"older than a flow may be", 0, 60 * SECOND, GB_FLOW_NOTICE_NOT_OWNER},
+    {"limit beyond the age of a flow", 300000, 60 * SECOND,
+     GB_FLOW_NOTICE_NOT_OWNER},
+};
+
+/* Fault pattern: an agent restarts during a pause of a flow, and the flow's
+ * next packet arrives through another balancer. Guards against the claim that
+ * nobody has the flow while it may go on. */
+static void
+test_flow_pauses_while_agent_restarts(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(restarted_agent_cases); i++) {
+        const struct RestartedAgentCase *row = &restarted_agent_cases[i];
+        struct GbFlowNotice query =
+            make_notice(GB_FLOW_NOTICE_OWNER_QUERY, 100);
+        struct GbRoutingView *view = GbFlowFixture_NewView(2, 1);
+        struct GbFlowAgentFixture fixture;
+
+        g_test_message("%s", row->name);
+        view->routes->idle_timeout_ms = row->idle_timeout_ms;
+        GbFlowAgentFixture_InitWithoutView(&fixture);
+        GbFlowAgent_SetView(&fixture.agent, view);
+        GbFlowAgentFixture_Advance(&fixture, row->uptime_us);
+        GbFlowAgent_ReceiveNotice(&fixture.agent,
+                                  GB_FLOW_FIXTURE_AGENT_IPV4 + 1, &query);
+        g_assert_cmpint(
+            GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_NOTIFY)
+                ->notice.kind,
+            ==, row->expected);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 /* Fault pattern: two targets replied to SYN packets of one flow, and the
  * client continued with the other one. Guards against a flow that still counts
  * at the target that was not chosen. */
@@ -422,6 +471,8 @@
                     test_lookup_without_all_answers);
     g_test_add_func("/flow-location/agent-restarts-beside-running-target",
                     test_agent_restarts_beside_running_target);
+    g_test_add_func("/flow-location/flow-pauses-while-agent-restarts",
+                    test_flow_pauses_while_agent_restarts);
     g_test_add_func("/flow-location/client-chooses-another-target",
                     test_client_chooses_another_target);
     return g_test_run();
--- a/tests/test_node_file.c
+++ b/tests/test_node_file.c
@@ -114,9 +114,48 @@
     g_assert_cmpuint(node.last_peer_port, ==, 7735);
     g_assert_cmpuint(node.seed_count, ==, 2);
     g_assert_cmpuint(node.store_address.port, ==, 8169);
+    g_assert_cmpuint(node.flow_lifetime_ms, ==, 60000);
     g_string_free(errors, TRUE);
 }
 
+struct LifetimeCase {
+    const char *bounds;
+    uint32_t lifetime_ms;
+};
+
+static const struct LifetimeCase lifetime_cases[] = {
+    {"{}", 60000},
+    {"7", 60000},
+    {"{\"flowTtlS\":90}", 90000},
+    {"{\"flowTtlS\":0.5}", 500},
+    {"{\"flowTtlS\":0}", 60000},
+    {"{\"flowTtlS\":-1}", 60000},
+    {"{\"flowTtlS\":false}", 60000},
+    {"{\"flowTtlS\":1e300}", 86400000},
+};
+
+/* Guards against a process that does not start because flows have no limit of
+ * their age, or that takes another value for the limit. */
+static void
+test_flow_lifetime(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(lifetime_cases); i++) {
+        const struct LifetimeCase *row = &lifetime_cases[i];
+        gchar *bounds = g_strdup_printf("\"bounds\":%s,\"new\"", row->bounds);
+        gchar *text = edit_settings("\"new\"", bounds);
+        GString *errors = g_string_new(NULL);
+        struct GbNodeFile node;
+
+        g_test_message("%s", row->bounds);
+        g_assert_cmpint(GbNodeFile_Parse(&node, text, false, errors), ==,
+                        GB_PLATFORM_OK);
+        g_assert_cmpuint(node.flow_lifetime_ms, ==, row->lifetime_ms);
+        g_string_free(errors, TRUE);
+        g_free(text);
+        g_free(bounds);
+    }
+}
+
 struct ChangeCase {
     const char *name;
     const char *old;
@@ -131,6 +170,8 @@
     {"data centre", "\"a\"", "\"b\"", "zone"},
     {"port of packets", ":8172", ":8173", "listen.datagramAddr"},
     {"store", "10.200.1.7:8169", "10.200.1.8:8169", "platform.address"},
+    {"lifetime of flows", "\"new\"", "\"bounds\":{\"flowTtlS\":90},\"new\"",
+     "bounds.flowTtlS"},
     {"ports between processes", "7720,7735", "7720,7736", "portRange"},
 };
 
@@ -182,6 +223,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/node-file/parse", test_parse);
     g_test_add_func("/node-file/values", test_values);
+    g_test_add_func("/node-file/flow-lifetime", test_flow_lifetime);
     g_test_add_func("/node-file/changes", test_changes);
     g_test_add_func("/node-file/missing-file", test_missing_file);
     return g_test_run();
