Probe the target for a flow that returns after a hand-over

What callers could see: an open flow is reset.

Cause: an agent that has handed a flow over to the agent that now looks for it replied that it is not the owner. When both targets replied to the SYN packet and the client went on with the own one, that is wrong.

Fix: such an agent replies that it cannot tell, and passes the probe on to its target. The check for a flow at another agent, which the handling of returned SYN packets had as well, is now GbPacketFlow_IsAt.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -320,15 +320,6 @@
     GbFlowLoad_ReportToBalancers(self, GbClock_MonotonicUs(self->clock));
 }
 
-/* Returns true if the agent that took over a flow sends it back. Forwarding it
- * again would create a loop between the two agents. */
-static bool
-is_handed_back(const struct GbPacketFlow *flow, uint32_t from_ipv4)
-{
-    return flow->state == GB_PACKET_FLOW_REMOTE &&
-           flow->owner_ipv4 == from_ipv4;
-}
-
 void
 GbFlowAgent_ReceivePacket(struct GbFlowAgent *self, uint32_t from_ipv4,
                           struct GbPacket *packet)
@@ -354,7 +345,9 @@
     else if (GbFlowQueue_Find(&self->queue, &packet->key) != NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_OPENINGS_REPEATED, 1);
     }
-    else if (flow == NULL || is_handed_back(flow, from_ipv4)) {
+    else if (flow == NULL || GbPacketFlow_IsAt(flow, from_ipv4)) {
+        /* Forwarding a flow to the agent that hands it back would create a
+         * loop between the two agents. */
         GbFlowAdmission_ReceiveSyn(self, packet, from_ipv4);
     }
     else {
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -188,7 +188,7 @@
                             struct GbPacket *packet,
                             const struct GbPacketFlow *flow)
 {
-    if (flow != NULL) {
+    if (flow != NULL && !GbPacketFlow_IsAt(flow, from_ipv4)) {
         notify_owner(self, &packet->key,
                      flow->state == GB_PACKET_FLOW_REMOTE
                          ? flow->owner_ipv4
@@ -234,18 +234,19 @@
         GbPacketFlowTable_Find(&self->flows, &notice->key);
     struct GbFlowNotice reply = *notice;
 
-    if (flow != NULL && flow->state != GB_PACKET_FLOW_REMOTE) {
+    /* A flow that was handed over to the sender, which does not have it, may
+     * be at the own target: both replied to the SYN packet. */
+    if (flow != NULL && !GbPacketFlow_IsAt(flow, from_ipv4)) {
         reply.kind = GB_FLOW_NOTICE_OWNER;
-        reply.owner_ipv4 = self->config.own_ipv4;
+        reply.owner_ipv4 = flow->state == GB_PACKET_FLOW_REMOTE
+                               ? flow->owner_ipv4
+                               : self->config.own_ipv4;
     }
-    else if (flow != NULL && flow->owner_ipv4 != from_ipv4) {
-        reply.kind = GB_FLOW_NOTICE_OWNER;
-        reply.owner_ipv4 = flow->owner_ipv4;
+    else if (flow == NULL && has_complete_flows(self, now_us)) {
+        reply.kind = GB_FLOW_NOTICE_NOT_OWNER;
     }
     else {
-        reply.kind = has_complete_flows(self, now_us)
-                         ? GB_FLOW_NOTICE_NOT_OWNER
-                         : GB_FLOW_NOTICE_OWNER_UNKNOWN;
+        reply.kind = GB_FLOW_NOTICE_OWNER_UNKNOWN;
     }
     self->port->klass->notify(self->port, &reply, from_ipv4);
 }
--- a/src/state/packet_flow_table.c
+++ b/src/state/packet_flow_table.c
@@ -12,6 +12,13 @@
     return GbFlowKey_Equal(a, b);
 }
 
+bool
+GbPacketFlow_IsAt(const struct GbPacketFlow *self, uint32_t agent_ipv4)
+{
+    return self->state == GB_PACKET_FLOW_REMOTE &&
+           self->owner_ipv4 == agent_ipv4;
+}
+
 void
 GbPacketFlowTable_Init(struct GbPacketFlowTable *self, uint32_t limit)
 {
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -42,6 +42,9 @@
     GList link;
 };
 
+/* Returns true if the flow was handed over to this agent. */
+bool GbPacketFlow_IsAt(const struct GbPacketFlow *self, uint32_t agent_ipv4);
+
 /* Flows of an agent, indexed by key and ordered by last use. */
 struct GbPacketFlowTable {
     GHashTable *by_key;
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -426,6 +426,50 @@
     }
 }
 
+/* Fault pattern: a flow was handed over, but the client continued with the
+ * own target, and the other agent looks for it. Guards against the claim that
+ * the own target does not have the flow. */
+static void
+test_handed_over_flow_returns(void)
+{
+    struct GbFlowAgentFixture fixture;
+    struct GbFlowNotice query = make_notice(GB_FLOW_NOTICE_OWNER_QUERY, 100);
+    struct GbPacket probe = {
+        .key = GbFlowFixture_Key(100),
+        .flags = GB_PACKET_ACK,
+        .hops = GB_FLOW_HOPS_PROBE,
+        .service_id = GbRouteTable_ServiceId(GB_FLOW_FIXTURE_SERVICE),
+        .data_bytes = 200,
+    };
+    uint32_t member_ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4 + 1;
+
+    GbFlowAgentFixture_Init(&fixture, 2);
+    GbFlowAgentFixture_Advance(&fixture, 70 * (int64_t)SECOND);
+    GbFlowAgent_Drain(&fixture.agent);
+    GbFlowAgentFixture_ReceiveFromBalancer(&fixture, 100, GB_PACKET_SYN, 0, 0);
+    g_assert_cmpuint(
+        GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_FORWARD)
+            ->to_ipv4,
+        ==, member_ipv4);
+    GbFlowAgent_ReceiveNotice(&fixture.agent, member_ipv4, &query);
+    g_assert_cmpint(
+        GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_NOTIFY)
+            ->notice.kind,
+        ==, GB_FLOW_NOTICE_OWNER_UNKNOWN);
+    GbFlowRecorder_Clear(&fixture.recorder);
+    probe.bytes = fixture.bytes;
+    GbFlowAgent_ReceivePacket(&fixture.agent, member_ipv4, &probe);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_DELIVER), ==,
+        1);
+    GbFlowAgentFixture_ReceiveFromTarget(&fixture, 100, GB_PACKET_ACK, 7, 0);
+    g_assert_cmpint(
+        GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_NOTIFY)
+            ->notice.kind,
+        ==, GB_FLOW_NOTICE_OWNER);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
 /* Fault pattern: two targets replied to SYN packets of one flow, and the
  * client continued with the other one. Guards against a flow that still counts
  * at the target that was not chosen. */
@@ -473,6 +517,8 @@
                     test_agent_restarts_beside_running_target);
     g_test_add_func("/flow-location/flow-pauses-while-agent-restarts",
                     test_flow_pauses_while_agent_restarts);
+    g_test_add_func("/flow-location/handed-over-flow-returns",
+                    test_handed_over_flow_returns);
     g_test_add_func("/flow-location/client-chooses-another-target",
                     test_client_chooses_another_target);
     return g_test_run();
