Keep flows for as long as the document lets them pause

Cause: an agent dropped flows after 20 s without packets, whatever the document says, and then replied that it is not the owner.

Fix: flows are kept for the idle timeout of the document, bounded by the greatest age of a flow, and 2 s longer, since the packet that ends a pause may be lost and repeated. When the timeout grows, the table counts as incomplete until what was dropped before may be discarded.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -15,6 +15,9 @@
 /* Assumed time from SYN packet to response before the first responses. */
 #define SERVICE_INITIAL_US INT64_C(30000)
 #define REPORT_PERIOD_US INT64_C(100000)
+/* A packet that ends a pause may be lost and repeated, up to three times in
+ * this time. */
+#define IDLE_MARGIN_US INT64_C(2000000)
 /* Two reports fit into the time without any after which a balancer suspects
  * an agent. */
 #define BALANCER_REPORT_PERIOD_US INT64_C(140000)
@@ -183,21 +186,27 @@
 {
     int64_t idle_us = self->view->routes->idle_timeout_ms * US_PER_MS;
 
-    return idle_us > 0 ? MIN(idle_us, self->config.flow_lifetime_us)
-                       : self->config.flow_lifetime_us;
+    if (idle_us == 0 || idle_us > self->config.flow_lifetime_us) {
+        idle_us = self->config.flow_lifetime_us;
+    }
+    return idle_us + IDLE_MARGIN_US;
 }
 
 /* A flow of before the start that has had no packet since then has been idle
- * for at least the time since the start. */
+ * for at least the time since the start. When the limit grows, flows that were
+ * removed under the old one may still be in use. */
 static void
-update_idle_limit(struct GbFlowAgent *self)
+update_idle_limit(struct GbFlowAgent *self, int64_t now_us)
 {
-    int64_t limit_us = get_idle_limit_us(self);
+    int64_t old_limit_us = self->idle_limit_us;
 
-    if (self->idle_limit_us == 0) {
-        self->complete_from_us = self->started_us + limit_us;
+    self->idle_limit_us = get_idle_limit_us(self);
+    if (old_limit_us == 0) {
+        self->complete_from_us = self->started_us + self->idle_limit_us;
+    }
+    else if (self->idle_limit_us > old_limit_us) {
+        GbFlowAgent_MarkIncomplete(self, now_us);
     }
-    self->idle_limit_us = limit_us;
 }
 
 void
@@ -302,7 +311,7 @@
 
     GbRoutingView_Unref(self->view);
     self->view = view;
-    update_idle_limit(self);
+    update_idle_limit(self, now_us);
     self->own = find_own(self);
     if (self->own != NULL) {
         self->warmup_end_us = now_us + self->own->cold_ms * US_PER_MS;
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -67,8 +67,8 @@
     /* Flows whose request the target is processing or is about to receive. */
     uint32_t in_flight;
     int64_t started_us;
-    /* Time without packets after which a flow may be discarded; 0 before the
-     * first view. */
+    /* Time without packets after which the target's flows may be discarded; 0
+     * before the first view. */
     int64_t idle_limit_us;
     /* Monotonic time from which the flow table has every flow that the target
      * may have: by then, those that it lacks may be discarded. */
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -11,9 +11,9 @@
 #define SERVICE_MAX_US INT64_C(300000)
 /* A request counts as in flight for this long at most. */
 #define REQUEST_MAX_US INT64_C(3000000)
-/* Flows without packets for longer are removed. A later packet is delivered to
- * the target, which still has the flow. */
-#define IDLE_US INT64_C(20000000)
+/* Flows are kept for at least this long without packets, so that a request
+ * that a target processes for longer than the idle limit stays counted. */
+#define IDLE_MIN_US INT64_C(20000000)
 /* Closing flows are kept for this long because of retransmitted packets. */
 #define CLOSED_US INT64_C(2000000)
 /* Balancers that have sent no packet for longer get no reports. */
@@ -29,10 +29,13 @@
 }
 
 static bool
-is_idle(const struct GbPacketFlow *flow, int64_t now_us)
+is_idle(const struct GbFlowAgent *self, const struct GbPacketFlow *flow,
+        int64_t now_us)
 {
-    return now_us - flow->last_used_us >=
-           (flow->is_closing ? CLOSED_US : IDLE_US);
+    int64_t limit_us =
+        flow->is_closing ? CLOSED_US : MAX(IDLE_MIN_US, self->idle_limit_us);
+
+    return now_us - flow->last_used_us >= limit_us;
 }
 
 static void
@@ -174,7 +177,7 @@
         struct GbPacketFlow *flow = link->data;
 
         link = link->next;
-        if (is_idle(flow, now_us)) {
+        if (is_idle(self, flow, now_us)) {
             GbFlowLoad_RemoveFlow(self, flow);
         }
         else if (flow->is_in_flight && is_in_flight_too_long(flow, now_us)) {
