Keep flows that only one end has closed

What callers could see: the side of a flow that is still open goes on after a pause of 2 s and is reset, if its balancer changed.

Cause: an agent dropped a flow 2 s after its last packet when either end had sent a FIN packet. A client may close its side together with a request whose response takes longer, and a target closes its side first when it drains.

Fix: the 2 s apply once both ends have closed the flow or one has reset it.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -61,7 +61,8 @@
     }
     GbPacketFlowTable_Touch(&self->flows, flow, now_us);
     if ((packet->flags & GB_PACKET_RST) != 0) {
-        flow->is_closing = true;
+        flow->is_closed_by_client = true;
+        flow->is_closed_by_target = true;
         flow->is_awaiting_response = false;
         GbFlowLoad_RemoveInFlight(self, flow);
     }
@@ -72,7 +73,7 @@
     }
     /* A client may close its side of the flow together with its request. */
     if ((packet->flags & GB_PACKET_FIN) != 0) {
-        flow->is_closing = true;
+        flow->is_closed_by_client = true;
     }
     return true;
 }
@@ -377,14 +378,17 @@
 }
 
 static void
-end_flow(struct GbFlowAgent *self, struct GbPacketFlow *flow, int64_t now_us)
+end_flow(struct GbFlowAgent *self, struct GbPacketFlow *flow,
+         const struct GbPacket *packet, int64_t now_us)
 {
-    if (!flow->is_ended) {
-        flow->is_ended = true;
+    if (!flow->is_closed_by_target) {
+        flow->is_closed_by_target = true;
         GbHistogram_Add(&self->times.values[GB_FLOW_TIME_END],
                         now_us - flow->opened_us);
     }
-    flow->is_closing = true;
+    if ((packet->flags & GB_PACKET_RST) != 0) {
+        flow->is_closed_by_client = true;
+    }
     GbFlowLoad_RemoveInFlight(self, flow);
 }
 
@@ -419,7 +423,7 @@
             GbFlowLoad_RecordResponse(self, flow, now_us);
         }
         if ((packet->flags & (GB_PACKET_FIN | GB_PACKET_RST)) != 0) {
-            end_flow(self, flow, now_us);
+            end_flow(self, flow, packet, now_us);
         }
     }
     GbCounters_Add(self->counters, GB_COUNTER_PACKETS_REPLIED, 1);
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -14,7 +14,7 @@
 /* Flows are kept for at least this long without packets, so that a request
  * that a target processes for longer than the idle limit stays counted. */
 #define IDLE_MIN_US INT64_C(20000000)
-/* Closing flows are kept for this long because of retransmitted packets. */
+/* Closed flows are kept for this long because of retransmitted packets. */
 #define CLOSED_US INT64_C(2000000)
 /* Balancers that have sent no packet for longer get no reports. */
 #define BALANCER_IDLE_US INT64_C(3000000)
@@ -32,8 +32,9 @@
 is_idle(const struct GbFlowAgent *self, const struct GbPacketFlow *flow,
         int64_t now_us)
 {
+    bool is_closed = flow->is_closed_by_client && flow->is_closed_by_target;
     int64_t limit_us =
-        flow->is_closing ? CLOSED_US : MAX(IDLE_MIN_US, self->idle_limit_us);
+        is_closed ? CLOSED_US : MAX(IDLE_MIN_US, self->idle_limit_us);
 
     return now_us - flow->last_used_us >= limit_us;
 }
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -29,9 +29,10 @@
     /* The target has sent data on the flow. */
     bool has_response;
     bool has_target_sequence;
-    bool is_closing;
-    /* The target has ended the flow. */
-    bool is_ended;
+    /* The client has closed its side or reset the flow. */
+    bool is_closed_by_client;
+    /* The target has closed its side or reset the flow. */
+    bool is_closed_by_target;
     uint32_t target_sequence;
     /* Sequence number of the last data sent by the client. */
     uint32_t request_sequence;
--- a/tests/test_flow_agent.c
+++ b/tests/test_flow_agent.c
@@ -317,6 +317,51 @@
                     700 * MS);
 }
 
+struct ClosingCase {
+    const char *name;
+    /* Flags of the last packets of the client and of the target. */
+    uint8_t client_flags;
+    uint8_t target_flags;
+    uint32_t kept;
+};
+
+static const struct ClosingCase closing_cases[] = {
+    {"open", GB_PACKET_ACK, GB_PACKET_ACK, 1},
+    {"closed by the client", GB_PACKET_ACK | GB_PACKET_FIN, GB_PACKET_ACK, 1},
+    {"closed by the target", GB_PACKET_ACK, GB_PACKET_ACK | GB_PACKET_FIN, 1},
+    {"closed by both", GB_PACKET_ACK | GB_PACKET_FIN,
+     GB_PACKET_ACK | GB_PACKET_FIN, 0},
+    {"reset by the client", GB_PACKET_RST, GB_PACKET_ACK, 0},
+    {"reset by the target", GB_PACKET_ACK, GB_PACKET_RST, 0},
+};
+
+/* Load pattern: one end closes its side of a flow and the other goes on after
+ * a pause of 3 s. Guards against an agent that forgets the flow and denies
+ * that its target has it. */
+static void
+test_half_closed_flows(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(closing_cases); i++) {
+        const struct ClosingCase *row = &closing_cases[i];
+        struct GbFlowAgentFixture fixture;
+
+        g_test_message("%s", row->name);
+        GbFlowAgentFixture_Init(&fixture, 2);
+        GbFlowAgentFixture_ReceiveFromBalancer(&fixture, 100, GB_PACKET_SYN, 0,
+                                               0);
+        GbFlowAgentFixture_ReceiveFromTarget(
+            &fixture, 100, GB_PACKET_SYN | GB_PACKET_ACK, 7000, 0);
+        GbFlowAgentFixture_ReceiveFromBalancer(&fixture, 100,
+                                               row->client_flags, 7001, 200);
+        GbFlowAgentFixture_ReceiveFromTarget(&fixture, 100, row->target_flags,
+                                             7001, 600);
+        GbFlowAgentFixture_Advance(&fixture, 3000 * MS);
+        g_assert_cmpuint(GbPacketFlowTable_Count(&fixture.agent.flows), ==,
+                         row->kept);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -336,6 +381,7 @@
     g_test_add_func("/flow-agent/half-open-flows-are-not-counted-for-long",
                     test_half_open_flows_are_not_counted_for_long);
     g_test_add_func("/flow-agent/hops-are-bounded", test_hops_are_bounded);
+    g_test_add_func("/flow-agent/half-closed-flows", test_half_closed_flows);
     g_test_add_func("/flow-agent/retries-from-new-ports",
                     test_retries_from_new_ports);
     return g_test_run();
