Refuse entries of hosts that lack version or seqNo

New flows reached the host more than 3 s after the store had acknowledged that it was draining.

Cause: the reader checked only the fields that decisions use, so the copy counted as a ready instance at the host's address.

Fix: version must be a string that is not empty, seqNo a whole number, and born, which not all deployments have, a whole number where it is present. The good entries of test_odd_entries have these fields now; all assertions stay.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -28,8 +28,12 @@
 #define FIELD_SLOTS "\"slots\":2"
 #define FIELD_STATE "\"state\":\"ready\""
 #define FIELD_COLD "\"coldLeftMs\":0"
+#define FIELD_ORIGIN "\"version\":\"v1\",\"seqNo\":4"
 #define HOST(service, address, zone, slots, state, cold)                      \
-    "{" service "," address "," zone "," slots "," state "," cold "}"
+    HOST_FROM(FIELD_ORIGIN, service, address, zone, slots, state, cold)
+#define HOST_FROM(origin, service, address, zone, slots, state, cold)         \
+    "{" service "," address "," zone "," slots "," state "," cold "," origin  \
+    "}"
 #define GOOD_HOST                                                             \
     HOST(FIELD_SERVICE, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS, FIELD_STATE,  \
          FIELD_COLD)
@@ -52,6 +56,9 @@
 #define WITH_COLD(text)                                                       \
     HOST(FIELD_SERVICE, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS, FIELD_STATE,  \
          "\"coldLeftMs\":" text)
+#define WITH_ORIGIN(text)                                                     \
+    HOST_FROM(text, FIELD_SERVICE, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS,    \
+              FIELD_STATE, FIELD_COLD)
 #define CONFIG                                                                \
     "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\","     \
     "\"prefix\":\"/443/\",\"kind\":\"idempotent\",\"timeoutMs\":1000,"        \
@@ -112,6 +119,26 @@
     {"no service", WITH_SERVICE("\"servic\":\"hints\""), 0, 0, false},
     {"service not in UTF-8", WITH_SERVICE("\"service\":\"\xff\xfe\""), 0, 0,
      false},
+    {"neither version nor sequence number", WITH_ORIGIN("\"other\":1"), 0, 0,
+     false},
+    {"no version", WITH_ORIGIN("\"seqNo\":4"), 0, 0, false},
+    {"version as number", WITH_ORIGIN("\"version\":1,\"seqNo\":4"), 0, 0,
+     false},
+    {"empty version", WITH_ORIGIN("\"version\":\"\",\"seqNo\":4"), 0, 0,
+     false},
+    {"no sequence number", WITH_ORIGIN("\"version\":\"v1\""), 0, 0, false},
+    {"sequence number as text",
+     WITH_ORIGIN("\"version\":\"v1\",\"seqNo\":\"4\""), 0, 0, false},
+    {"negative sequence number",
+     WITH_ORIGIN("\"version\":\"v1\",\"seqNo\":-1"), 0, 0, false},
+    {"fractional sequence number",
+     WITH_ORIGIN("\"version\":\"v1\",\"seqNo\":4.5"), 0, 0, false},
+    {"with the time of its start", WITH_ORIGIN(FIELD_ORIGIN ",\"born\":1"), 0,
+     0, true},
+    {"time of its start as text", WITH_ORIGIN(FIELD_ORIGIN ",\"born\":\"1\""),
+     0, 0, false},
+    {"fractional time of its start", WITH_ORIGIN(FIELD_ORIGIN ",\"born\":1.5"),
+     0, 0, false},
     {"NUL byte after the entry", GOOD_HOST "\0}", 0, sizeof(GOOD_HOST "\0}"),
      false},
     {"unfinished", "{\"service\":", 0, 0, false},
@@ -259,7 +286,7 @@
      "\"!"
      "eyJzZXJ2aWNlIjoiaGludHMiLCJhZGRyZXNzIjoiMTAuMS4wLjU6ODA4MC"
      "IsInpvbmUiOiJhIiwic2xvdHMiOjIsInN0YXRlIjoicmVhZHkiLCJjb2xk"
-     "TGVmdE1zIjowfQ=="
+     "TGVmdE1zIjowLCJ2ZXJzaW9uIjoidjEiLCJzZXFObyI6NH0="
      "\""},
     {"value as number", ODD_KEY, "7"},
     {"value as null", ODD_KEY, "null"},
