Query agents that report a capacity but are not listed yet

What callers could see: an open flow of a host that has just joined is reset.

Cause: a lookup queries the agents of the instance list. When a host joins and its flows move to another balancer at that time, an agent that does not have its entry yet finds that no other one has the flow.

Fix: agents report their load to the pool of their service every 100 ms, and a capacity only when their own view has their target. The sender of such a report that is missing from the list is queried as well. Its claim to own the flow is not followed before it is listed, because only listed processes may name an owner, but the client is not reset: its packet comes again, and the list has caught up by then. In a service with more agents than a pool this covers the members of the new agent's pool only.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -287,6 +287,7 @@
     self->next_balancer_report_us = self->started_us;
     GbPacketFlowTable_Init(&self->flows, config->flow_limit);
     GbFlowPool_Init(&self->pool);
+    GbUnlistedAgents_Init(&self->unlisted);
     GbFlowLookups_Init(&self->lookups);
     GbFlowProbes_Init(&self->probes);
     GbTargetMonitor_Init(&self->target_monitor);
@@ -430,12 +431,31 @@
     self->port->klass->reply(self->port, packet);
 }
 
+/* An agent reports a capacity once its target is listed in its own view. */
+static void
+record_load(struct GbFlowAgent *self, uint32_t from_ipv4,
+            const struct GbFlowNotice *notice)
+{
+    int64_t now_us = GbClock_MonotonicUs(self->clock);
+    struct GbFlowMember *member = GbFlowPool_Find(&self->pool, from_ipv4);
+
+    if (member != NULL) {
+        member->load = notice->load;
+        member->failing_percent = notice->failing_percent;
+        member->response_time_us = notice->response_time_us;
+        member->last_report_us = now_us;
+    }
+    else if (notice->load.capacity > 0 &&
+             (self->view == NULL ||
+              GbRoutingView_FindIpv4(self->view, from_ipv4) == NULL)) {
+        GbUnlistedAgents_Record(&self->unlisted, from_ipv4, now_us);
+    }
+}
+
 void
 GbFlowAgent_ReceiveNotice(struct GbFlowAgent *self, uint32_t from_ipv4,
                           const struct GbFlowNotice *notice)
 {
-    struct GbFlowMember *member;
-
     GbCounters_Add(self->counters, GB_COUNTER_NOTICES_RECEIVED, 1);
     if (notice->service_id != self->config.service_id) {
         GbCounters_Add(self->counters, GB_COUNTER_WRONG_SERVICE, 1);
@@ -443,13 +463,7 @@
     }
     switch (notice->kind) {
     case GB_FLOW_NOTICE_LOAD:
-        member = GbFlowPool_Find(&self->pool, from_ipv4);
-        if (member != NULL) {
-            member->load = notice->load;
-            member->failing_percent = notice->failing_percent;
-            member->response_time_us = notice->response_time_us;
-            member->last_report_us = GbClock_MonotonicUs(self->clock);
-        }
+        record_load(self, from_ipv4, notice);
         break;
     case GB_FLOW_NOTICE_OWNER_QUERY:
         GbFlowLocation_ReplyToQuery(self, from_ipv4, notice);
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -9,6 +9,7 @@
 #include "coordination/flows/packet_port.h"
 #include "coordination/flows/recent_refusals.h"
 #include "coordination/flows/target_monitor.h"
+#include "coordination/flows/unlisted_agents.h"
 #include "state/clock.h"
 #include "state/counters.h"
 #include "state/flow_times.h"
@@ -53,6 +54,7 @@
     const struct GbInstance *own;
     struct GbPacketFlowTable flows;
     struct GbFlowPool pool;
+    struct GbUnlistedAgents unlisted;
     struct GbFlowLookups lookups;
     struct GbFlowProbes probes;
     struct GbTargetMonitor target_monitor;
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -100,15 +100,45 @@
     fail_lookup(self, lookup);
 }
 
-/* Queries every agent of the service, not only the members of the pool: with
- * an earlier instance list, the flow may have gone to any of them. */
-static void
-query_agents(struct GbFlowAgent *self, struct GbFlowLookup *lookup)
+/* Returns false if the lookup has too many agents. */
+static bool
+query_agent(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+            uint32_t ipv4)
 {
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER_QUERY,
                                   .key = lookup->packet.key};
 
+    if (!GbFlowLookup_AddAgent(lookup, ipv4)) {
+        GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_PARTIAL, 1);
+        return false;
+    }
     notice.service_id = self->config.service_id;
+    self->port->klass->notify(self->port, &notice, ipv4);
+    return true;
+}
+
+/* Queries agents of the service that the list lacks. Once it has their
+ * entries, they are queried as listed ones. */
+static void
+query_unlisted_agents(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+                      int64_t now_us)
+{
+    for (uint32_t i = 0; i < GB_UNLISTED_AGENTS_MAX; i++) {
+        uint32_t ipv4 = GbUnlistedAgents_At(&self->unlisted, i, now_us);
+
+        if (ipv4 != 0 && !is_listed(self, ipv4) &&
+            !query_agent(self, lookup, ipv4)) {
+            return;
+        }
+    }
+}
+
+/* Queries every agent of the service, not only the members of the pool: with
+ * an earlier instance list, the flow may have gone to any of them. */
+static void
+query_agents(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+             int64_t now_us)
+{
     for (uint32_t i = 0; i < self->view->list->count; i++) {
         const struct GbInstance *instance = &self->view->list->instances[i];
 
@@ -116,12 +146,11 @@
             instance->address.ipv4 == self->config.own_ipv4) {
             continue;
         }
-        if (!GbFlowLookup_AddAgent(lookup, instance->address.ipv4)) {
-            GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_PARTIAL, 1);
-            break;
+        if (!query_agent(self, lookup, instance->address.ipv4)) {
+            return;
         }
-        self->port->klass->notify(self->port, &notice, instance->address.ipv4);
     }
+    query_unlisted_agents(self, lookup, now_us);
 }
 
 static void
@@ -130,7 +159,7 @@
 {
     lookup->is_awaiting_view = false;
     lookup->deadline_us = now_us + LOOKUP_TIMEOUT_US;
-    query_agents(self, lookup);
+    query_agents(self, lookup, now_us);
     if (lookup->agent_count == 0) {
         end_lookup(self, lookup, now_us);
     }
@@ -260,6 +289,15 @@
             lookup->reply_counts[GB_FLOW_LOOKUP_UNSURE] == 0);
 }
 
+static void
+record_reply(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
+             uint32_t from_ipv4, enum GbFlowLookupReply reply)
+{
+    if (!GbFlowLookup_RecordReply(lookup, from_ipv4, reply)) {
+        GbCounters_Add(self->counters, GB_COUNTER_NOTICES_UNLISTED, 1);
+    }
+}
+
 void
 GbFlowLocation_ReceiveReply(struct GbFlowAgent *self, uint32_t from_ipv4,
                             const struct GbFlowNotice *notice)
@@ -271,8 +309,8 @@
     if (lookup == NULL) {
         return;
     }
-    if (!is_listed(self, from_ipv4) ||
-        (notice->kind == GB_FLOW_NOTICE_OWNER &&
+    if (notice->kind == GB_FLOW_NOTICE_OWNER &&
+        (!is_listed(self, from_ipv4) ||
          !is_listed(self, notice->owner_ipv4))) {
         GbCounters_Add(self->counters, GB_COUNTER_NOTICES_UNLISTED, 1);
         return;
@@ -286,10 +324,10 @@
         forward_and_close(self, lookup, notice->owner_ipv4);
         return;
     case GB_FLOW_NOTICE_OWNER_UNKNOWN:
-        GbFlowLookup_RecordReply(lookup, from_ipv4, GB_FLOW_LOOKUP_UNSURE);
+        record_reply(self, lookup, from_ipv4, GB_FLOW_LOOKUP_UNSURE);
         break;
     default:
-        GbFlowLookup_RecordReply(lookup, from_ipv4, GB_FLOW_LOOKUP_NOT_OWNER);
+        record_reply(self, lookup, from_ipv4, GB_FLOW_LOOKUP_NOT_OWNER);
         break;
     }
     if (have_all_replied(lookup)) {
--- a/src/state/flow_notice.h
+++ b/src/state/flow_notice.h
@@ -15,8 +15,7 @@
     GB_FLOW_NOTICE_OWNER_QUERY,
     /* Reply: the sender does not hold the flow. */
     GB_FLOW_NOTICE_NOT_OWNER,
-    /* Reply: the sender started too recently to determine whether it holds the
-     * flow. */
+    /* Reply: the sender cannot tell whether its target has the flow. */
     GB_FLOW_NOTICE_OWNER_UNKNOWN,
     /* The sender has refused a SYN packet that the receiver had forwarded to
      * it. */
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -248,6 +248,64 @@
     }
 }
 
+struct NewTargetCase {
+    const char *name;
+    /* Capacity that the agent of the new target reports. */
+    uint32_t capacity;
+    /* Time from its report to the packet. */
+    int64_t age_us;
+    /* The new agent replies, and what. */
+    bool has_reply;
+    enum GbFlowNoticeKind reply;
+    uint32_t queries;
+    uint32_t resets;
+};
+
+static const struct NewTargetCase new_target_cases[] = {
+    {"owns the flow", 2, 0, true, GB_FLOW_NOTICE_OWNER, 2, 0},
+    {"does not reply", 2, 0, false, 0, 2, 0},
+    {"does not own the flow", 2, 0, true, GB_FLOW_NOTICE_NOT_OWNER, 2, 1},
+    {"is not listed for itself either", 0, 0, false, 0, 1, 1},
+    {"reported long ago", 2, SECOND, false, 0, 1, 1},
+};
+
+/* Fault pattern: a target joins, and its flows move to another balancer before
+ * all agents have its entry. Guards against a reset by an agent that does not
+ * query the new one. */
+static void
+test_target_joins_and_flows_move(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(new_target_cases); i++) {
+        const struct NewTargetCase *row = &new_target_cases[i];
+        struct GbFlowNotice load = make_notice(GB_FLOW_NOTICE_LOAD, 0);
+        struct GbFlowNotice reply = make_notice(row->reply, 100);
+        struct GbFlowAgentFixture fixture;
+
+        g_test_message("%s", row->name);
+        GbFlowAgentFixture_Init(&fixture, 2);
+        load.load.capacity = row->capacity;
+        GbFlowAgent_ReceiveNotice(&fixture.agent,
+                                  GB_FLOW_FIXTURE_AGENT_IPV4 + 2, &load);
+        GbFlowAgentFixture_Advance(&fixture, row->age_us);
+        GbFlowAgentFixture_ReceiveFromTarget(
+            &fixture, 100, GB_PACKET_ACK | GB_PACKET_RETURNED, 1, 200);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_NOTIFY), ==,
+            row->queries);
+        answer_query(&fixture, GB_FLOW_NOTICE_NOT_OWNER, 100, 1);
+        reply.owner_ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4 + 2;
+        if (row->has_reply) {
+            GbFlowAgent_ReceiveNotice(&fixture.agent,
+                                      GB_FLOW_FIXTURE_AGENT_IPV4 + 2, &reply);
+        }
+        GbFlowAgentFixture_Advance(&fixture, 100 * MS);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET), ==,
+            row->resets);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 struct ProbedTargetCase {
     const char *name;
     uint8_t flags;
@@ -569,6 +627,8 @@
     g_test_add_func("/flow-location/all-agents-restarted",
                     test_all_agents_restarted);
     g_test_add_func("/flow-location/repeated-replies", test_repeated_replies);
+    g_test_add_func("/flow-location/target-joins-and-flows-move",
+                    test_target_joins_and_flows_move);
     g_test_add_func("/flow-location/probe-of-own-target",
                     test_probe_of_own_target);
     g_test_add_func("/flow-location/list-changes-in-a-large-service",
