--- a/tests/support/fake_store.c
+++ b/tests/support/fake_store.c
@@ -102,6 +102,12 @@
         end = MIN(end, first + self->page_items);
     }
     self->list_reads++;
+    if (self->list_reads <= self->list_failures) {
+        self->list_failed(self);
+        send_reply(request, HTTP_SERVUNAVAIL, body);
+        g_free(after);
+        return;
+    }
     g_string_append(body, "{\"items\":[");
     if (self->host_key != NULL && after == NULL) {
         append_item(body, self->host_key, self->host_value, 1);
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -55,6 +55,10 @@
     uint32_t config_reads;
     uint32_t watches_replied;
     uint64_t watched_after[GB_FAKE_STORE_WATCHES_MAX];
+    /* Number of lists that fail with 503 before the first one that is sent.
+     * Each failure calls list_failed. */
+    uint32_t list_failures;
+    void (*list_failed)(struct GbFakeStore *self);
     /* Called before the reply to a watch with the index of the watch; may be
      * NULL. */
     void (*before_watch)(struct GbFakeStore *self, uint32_t index);
--- a/tests/test_store_watcher.c
+++ b/tests/test_store_watcher.c
@@ -175,6 +175,46 @@
     store->config_value = CONFIG("1");
 }
 
+/* By the second failure, the configuration has been read. */
+static void
+change_config_at_second_failure(struct GbFakeStore *store)
+{
+    if (store->list_reads == 2) {
+        store->config_value = CONFIG("5");
+        store->config_revision = 12;
+        store->revision = 14;
+    }
+}
+
+/* Fault pattern: the list of hosts fails and is read again, and a manifest is
+ * written in between, after the configuration was read. Guards against a watch
+ * that begins after that manifest, which the process would then miss. */
+static void
+test_config_changes_while_list_fails(void)
+{
+    static const struct GbFakeWatch watches[] = {
+        {HTTP_OK, 12, "op/config", CONFIG("5")},
+    };
+    struct GbWatcherFixture fixture = {
+        .store = {.host_key = HOST_KEY,
+                  .host_value = READY_HOST,
+                  .config_value = CONFIG("3"),
+                  .config_revision = 5,
+                  .revision = 10,
+                  .watches = watches,
+                  .watch_count = G_N_ELEMENTS(watches),
+                  .list_failures = 2,
+                  .list_failed = change_config_at_second_failure}};
+
+    GbWatcherFixture_Open(&fixture);
+    GbWatcherFixture_RunUntilIdle(&fixture);
+    g_assert_cmpuint(fixture.store.list_reads, ==, 3);
+    g_assert_cmpuint(fixture.store.config_reads, ==, 1);
+    g_assert_cmpuint(fixture.store.watched_after[0], ==, 10);
+    g_assert_cmpuint(fixture.view_store.routes->version, ==, 5);
+    GbWatcherFixture_Close(&fixture);
+}
+
 /* The first configuration is written after the watcher has started. Guards
  * against reading it repeatedly and against missing it. */
 static void
@@ -193,7 +233,8 @@
 
     GbWatcherFixture_Open(&fixture);
     GbWatcherFixture_RunUntilIdle(&fixture);
-    g_assert_cmpuint(fixture.store.config_reads, ==, 1);
+    /* Beside the list, and once more after it. */
+    g_assert_cmpuint(fixture.store.config_reads, ==, 2);
     g_assert_nonnull(fixture.view_store.routes);
     g_assert_true(GbViewStore_IsComplete(&fixture.view_store));
     GbWatcherFixture_Close(&fixture);
@@ -206,6 +247,8 @@
     g_test_add_func("/store-watcher/history-lost-after-missed-change",
                     test_history_lost_after_missed_change);
     g_test_add_func("/store-watcher/events", test_events);
+    g_test_add_func("/store-watcher/config-changes-while-list-fails",
+                    test_config_changes_while_list_fails);
     g_test_add_func("/store-watcher/configuration-written-after-start",
                     test_configuration_written_after_start);
     return g_test_run();
