Split the completeness of the flow table from the agent

No change of behaviour; the tests of flow_location, flow_agent and the others of the packet path pass as before.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -15,9 +15,6 @@
 /* Assumed time from SYN packet to response before the first responses. */
 #define SERVICE_INITIAL_US INT64_C(30000)
 #define REPORT_PERIOD_US INT64_C(100000)
-/* A packet that ends a pause may be lost and repeated, up to three times in
- * this time. */
-#define IDLE_MARGIN_US INT64_C(2000000)
 /* Two reports fit into the time without any after which a balancer suspects
  * an agent. */
 #define BALANCER_REPORT_PERIOD_US INT64_C(140000)
@@ -159,7 +156,7 @@
     }
     if (flow == NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_FLOWS_TABLE_FULL, 1);
-        GbFlowAgent_MarkIncomplete(self, now_us);
+        GbFlowCompleteness_MarkIncomplete(&self->completeness, now_us);
         return NULL;
     }
     flow->state = GB_PACKET_FLOW_OPEN;
@@ -180,43 +177,6 @@
     self->port->klass->record_decision(self->port, decision);
 }
 
-/* The document limits the time without packets, and the platform the age of a
- * flow, which bounds that time as well. */
-static int64_t
-get_idle_limit_us(const struct GbFlowAgent *self)
-{
-    int64_t idle_us = self->view->routes->idle_timeout_ms * US_PER_MS;
-
-    if (idle_us == 0 || idle_us > self->config.flow_lifetime_us) {
-        idle_us = self->config.flow_lifetime_us;
-    }
-    return idle_us + IDLE_MARGIN_US;
-}
-
-/* A flow of before the start that has had no packet since then has been idle
- * for at least the time since the start. When the limit grows, flows that were
- * removed under the old one may still be in use. */
-static void
-update_idle_limit(struct GbFlowAgent *self, int64_t now_us)
-{
-    int64_t old_limit_us = self->idle_limit_us;
-
-    self->idle_limit_us = get_idle_limit_us(self);
-    if (old_limit_us == 0) {
-        self->complete_from_us = self->started_us + self->idle_limit_us;
-    }
-    else if (self->idle_limit_us > old_limit_us) {
-        GbFlowAgent_MarkIncomplete(self, now_us);
-    }
-}
-
-void
-GbFlowAgent_MarkIncomplete(struct GbFlowAgent *self, int64_t now_us)
-{
-    self->complete_from_us =
-        MAX(self->complete_from_us, now_us + self->idle_limit_us);
-}
-
 void
 GbFlowAgent_RecordDecision(struct GbFlowAgent *self,
                            enum GbFlowDecisionKind kind,
@@ -275,16 +235,17 @@
                  struct GbPacketPort *port, struct GbClock *clock,
                  struct GbCounters *counters)
 {
+    int64_t now_us = GbClock_MonotonicUs(clock);
+
     memset(self, 0, sizeof(*self));
     self->config = *config;
     self->port = port;
     self->clock = clock;
     self->counters = counters;
-    self->started_us = GbClock_MonotonicUs(clock);
-    self->complete_from_us = INT64_MAX;
     self->warmup_end_us = INT64_MIN;
-    self->next_report_us = self->started_us;
-    self->next_balancer_report_us = self->started_us;
+    self->next_report_us = now_us;
+    self->next_balancer_report_us = now_us;
+    GbFlowCompleteness_Init(&self->completeness, now_us);
     GbPacketFlowTable_Init(&self->flows, config->flow_limit);
     GbFlowPool_Init(&self->pool);
     GbUnlistedAgents_Init(&self->unlisted);
@@ -313,7 +274,9 @@
 
     GbRoutingView_Unref(self->view);
     self->view = view;
-    update_idle_limit(self, now_us);
+    GbFlowCompleteness_SetIdleLimit(&self->completeness,
+                                    view->routes->idle_timeout_ms * US_PER_MS,
+                                    self->config.flow_lifetime_us, now_us);
     self->own = find_own(self);
     if (self->own != NULL) {
         self->warmup_end_us = now_us + self->own->cold_ms * US_PER_MS;
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -1,6 +1,7 @@
 #ifndef GB_COORDINATION_FLOWS_FLOW_AGENT_STATE_H
 #define GB_COORDINATION_FLOWS_FLOW_AGENT_STATE_H
 
+#include "coordination/flows/flow_completeness.h"
 #include "coordination/flows/flow_lookup.h"
 #include "coordination/flows/flow_outcomes.h"
 #include "coordination/flows/flow_pool.h"
@@ -53,6 +54,7 @@
     /* Own entry in the instance list; NULL if it is not listed. */
     const struct GbInstance *own;
     struct GbPacketFlowTable flows;
+    struct GbFlowCompleteness completeness;
     struct GbFlowPool pool;
     struct GbUnlistedAgents unlisted;
     struct GbFlowLookups lookups;
@@ -68,13 +70,6 @@
     uint32_t balancer_count;
     /* Flows whose request the target is processing or is about to receive. */
     uint32_t in_flight;
-    int64_t started_us;
-    /* Time without packets after which the target's flows may be discarded; 0
-     * before the first view. */
-    int64_t idle_limit_us;
-    /* Monotonic time from which the flow table has every flow that the target
-     * may have: by then, those that it lacks may be discarded. */
-    int64_t complete_from_us;
     /* Monotonic time at which the target's warm-up ends. */
     int64_t warmup_end_us;
     /* Monotonic times of the next reports to the pool and the balancers. */
@@ -85,9 +80,6 @@
     bool is_draining;
 };
 
-/* Records that the target may have a flow that the table lacks. */
-void GbFlowAgent_MarkIncomplete(struct GbFlowAgent *self, int64_t now_us);
-
 /* Passes a decision to the port for logging. */
 void GbFlowAgent_RecordDecision(struct GbFlowAgent *self,
                                 enum GbFlowDecisionKind kind,
--- a/src/coordination/flows/flow_load.c
+++ b/src/coordination/flows/flow_load.c
@@ -34,7 +34,8 @@
 {
     bool is_closed = flow->is_closed_by_client && flow->is_closed_by_target;
     int64_t limit_us =
-        is_closed ? CLOSED_US : MAX(IDLE_MIN_US, self->idle_limit_us);
+        is_closed ? CLOSED_US
+                  : MAX(IDLE_MIN_US, self->completeness.idle_limit_us);
 
     return now_us - flow->last_used_us >= limit_us;
 }
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -18,12 +18,6 @@
     return instance != NULL;
 }
 
-static bool
-has_complete_flows(const struct GbFlowAgent *self, int64_t now_us)
-{
-    return now_us >= self->complete_from_us;
-}
-
 static void
 record_owner(struct GbFlowAgent *self, const struct GbFlowKey *key,
              uint32_t owner_ipv4, int64_t now_us)
@@ -271,7 +265,8 @@
                                ? flow->owner_ipv4
                                : self->config.own_ipv4;
     }
-    else if (flow == NULL && has_complete_flows(self, now_us)) {
+    else if (flow == NULL &&
+             GbFlowCompleteness_IsComplete(&self->completeness, now_us)) {
         reply.kind = GB_FLOW_NOTICE_NOT_OWNER;
     }
     else {
