--- /dev/null
+++ b/tests/support/flow_fleet.h
@@ -0,0 +1,84 @@
+#ifndef GB_TESTS_SUPPORT_FLOW_FLEET_H
+#define GB_TESTS_SUPPORT_FLOW_FLEET_H
+
+#include <glib.h>
+
+#include "coordination/flows/flow_agent.h"
+#include "coordination/flows/steering.h"
+#include "support/event_queue.h"
+
+#define GB_FLOW_FLEET_BALANCERS 3
+#define GB_FLOW_FLEET_AGENTS 6
+#define GB_FLOW_FLEET_NODES (GB_FLOW_FLEET_BALANCERS + GB_FLOW_FLEET_AGENTS)
+
+/* Age after which a flow may be discarded. */
+#define GB_FLOW_FLEET_LIFETIME_MS INT64_C(60000)
+
+/* Faults of a run, drawn from its seed. */
+struct GbFlowFleetFaults {
+    /* Share of the datagrams between processes. */
+    uint32_t lost_percent;
+    uint32_t repeated_percent;
+    uint32_t delayed_percent;
+    /* Restarts and changes of the configuration; 0 for none. */
+    uint32_t mean_gap_ms;
+    bool restarts_agents;
+    bool restarts_balancers;
+    bool restarts_all_agents;
+    bool changes_idle_limit;
+    bool crashes_targets;
+};
+
+struct GbFlowFleet;
+struct GbFlowFleetMessage;
+
+/* Balancer, or agent with its target. The target goes on while the process is
+ * restarted. */
+struct GbFlowFleetNode {
+    struct GbPacketPort super;
+    struct GbFlowFleet *fleet;
+    uint32_t index;
+    bool is_running;
+    /* Incremented with each start, so that a view for the process before is
+     * discarded. */
+    uint32_t start_count;
+    struct GbSteering steering;
+    struct GbFlowAgent agent;
+    /* Flows of the target: struct TargetFlow by key. */
+    GHashTable *target_flows;
+};
+
+/* Simulation of clients, balancers, agents and targets of one service. Flows
+ * go on for up to a minute with pauses, and each packet of a client goes to a
+ * random balancer. */
+struct GbFlowFleet {
+    struct GbManualClock clock;
+    struct GbCounters counters;
+    struct EventQueue events;
+    GRand *random;
+    struct GbFlowFleetFaults faults;
+    /* Handles a message that has arrived. */
+    void (*handle_message)(struct GbFlowFleet *self,
+                           struct GbFlowFleetMessage *message);
+    struct GbFlowFleetNode nodes[GB_FLOW_FLEET_NODES];
+    /* struct ClientFlow by key. */
+    GHashTable *client_flows;
+    uint32_t next_client;
+    uint64_t routes_version;
+    uint32_t idle_limit_ms;
+    int64_t next_fault_us;
+    uint32_t requests_answered;
+    uint32_t flows_reset;
+    /* Open flows that were reset although their target has them and they were
+     * neither idle for too long nor too old. */
+    uint32_t wrong_resets;
+};
+
+void GbFlowFleet_Init(struct GbFlowFleet *self,
+                      const struct GbFlowFleetFaults *faults, uint32_t seed);
+
+void GbFlowFleet_Finish(struct GbFlowFleet *self);
+
+void GbFlowFleet_Run(struct GbFlowFleet *self, int64_t time_ms);
+
+#endif
--- /dev/null
+++ b/tests/test_flow_resets.c
@@ -0,0 +1,85 @@
+#include <glib.h>
+
+#include "support/flow_fleet.h"
+
+#define RUN_MS 60000
+#define SEEDS 12
+
+struct ResetCase {
+    const char *name;
+    struct GbFlowFleetFaults faults;
+    /* Some clients are reset, since targets lose flows. */
+    bool has_resets;
+};
+
+static const struct ResetCase reset_cases[] = {
+    {"pauses only", {.mean_gap_ms = 0}, false},
+    {"agents restart", {.mean_gap_ms = 1500, .restarts_agents = true}, false},
+    {"agents and balancers restart",
+     {.mean_gap_ms = 1000,
+      .restarts_agents = true,
+      .restarts_balancers = true},
+     false},
+    {"the idle limit changes",
+     {.mean_gap_ms = 2500,
+      .restarts_balancers = true,
+      .changes_idle_limit = true},
+     false},
+    {"datagrams are lost, repeated and delayed",
+     {.lost_percent = 5,
+      .repeated_percent = 10,
+      .delayed_percent = 10,
+      .mean_gap_ms = 1500,
+      .restarts_agents = true,
+      .restarts_balancers = true},
+     false},
+    {"all agents restart, targets crash",
+     {.lost_percent = 2,
+      .repeated_percent = 5,
+      .delayed_percent = 5,
+      .mean_gap_ms = 1500,
+      .restarts_agents = true,
+      .restarts_all_agents = true,
+      .changes_idle_limit = true,
+      .crashes_targets = true},
+     true},
+};
+
+/* Property: a client is reset only if no target has its flow, for any order of
+ * restarts, loss, repetition and delay of lookups, probes and views. Guards
+ * against an agent that takes a lack of answers, entries or records for proof
+ * that nobody has a flow. */
+static void
+test_reset_only_if_no_target_has_the_flow(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(reset_cases); i++) {
+        const struct ResetCase *row = &reset_cases[i];
+        uint32_t flows_reset = 0;
+
+        for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+            struct GbFlowFleet fleet;
+
+            g_test_message("%s, seed %u", row->name, seed);
+            GbFlowFleet_Init(&fleet, &row->faults, seed);
+            GbFlowFleet_Run(&fleet, RUN_MS);
+            g_test_message("%u requests answered, %u flows reset",
+                           fleet.requests_answered, fleet.flows_reset);
+            g_assert_cmpuint(fleet.wrong_resets, ==, 0);
+            g_assert_cmpuint(fleet.requests_answered, >, RUN_MS / 100);
+            flows_reset += fleet.flows_reset;
+            GbFlowFleet_Finish(&fleet);
+        }
+        if (row->has_resets) {
+            g_assert_cmpuint(flows_reset, >, 0);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/flow-resets/reset-only-if-no-target-has-the-flow",
+                    test_reset_only_if_no_target_has_the_flow);
+    return g_test_run();
+}
