Let the soak pause flows, spoil entries and restart in turn

New: 48 flows that pause up to the idle limit, which the configuration draws and changes; targets that crash and are drained while their old entry lives, also under their old id; targets that are added; entries of another writer, each field missing or odd, under a foreign key or over the target's own; agents of a service and balancers restarted in turn; stale seeds. The changes of targets are a file of their own.

Not checked: that the routes in force at a process never go back.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 # Duration of make fuzz.
 FUZZ_SECONDS ?= 20
 
-.PHONY: all deps build build-sanitize test test-tsan scenarios fault-matrix demo soak bench \
-	bench-policy bench-capacity fuzz format format-check lint layers clean
+.PHONY: all deps build build-sanitize test test-tsan scenarios fault-matrix demo soak soak-mutants \
+	bench bench-policy bench-capacity fuzz format format-check lint layers clean
 
 all: build
 
@@ -41,6 +41,10 @@
 soak: build
 	tools/soak.sh $(BUILD) $(SEED) $(SOAK_COUNT) $(SOAK_JOBS)
 
+# Takes up to an hour. Uses the last commit.
+soak-mutants:
+	tools/soak-mutants.sh $(SOAK_JOBS)
+
 scenarios: build
 	$(BUILD)/tests/test_scenarios
 
--- a/tests/soak/soak_clients.c
+++ b/tests/soak/soak_clients.c
@@ -11,11 +11,10 @@
 
 #define NEW_FLOW_PERCENT 60
 #define PERCENT 100
-#define PERSISTENT_FLOWS 10
-#define PERSISTENT_MIN_MS 3000
-#define PERSISTENT_MAX_MS 12000
-#define THINK_TIME_MS 300
 #define REQUEST_TIMEOUT_MS 2500
+#define PAUSE_MIN_MS 300
+/* A pause ends this long before the flow may be discarded. */
+#define PAUSE_MARGIN_MS 500
 #define CONNECT_TIMEOUT_MS 1400
 #define RETRANSMIT_MIN_MS 200
 #define RETRANSMIT_MAX_MS 1600
@@ -27,17 +26,34 @@
 /* When the SYN and its retransmissions are sent after the start of a flow. */
 static const int64_t syn_delays_ms[] = {0, 200, 600};
 
+struct SoakFlowClass {
+    /* Number of flows that are kept open; 0 if flows start at random. */
+    uint32_t count;
+    /* Range of the time in which requests are sent. All flows end before they
+     * are so old that they may be discarded. */
+    uint32_t life_min_ms;
+    uint32_t life_max_ms;
+    /* Pauses are drawn up to the idle limit, or all have the least time. */
+    bool pauses;
+};
+
+static const struct SoakFlowClass flow_classes[SOAK_FLOW_KINDS] = {
+    [SOAK_FLOW_SINGLE] = {0, 0, 1, false},
+    [SOAK_FLOW_BUSY] = {10, 3000, 12000, false},
+    [SOAK_FLOW_PAUSING] = {48, 15000, 50000, true},
+};
+
 struct SoakFlow {
     struct SoakFlowKey key;
     struct SoakClient *client;
-    bool is_persistent;
+    enum SoakFlowKind kind;
     bool is_open;
     bool is_finished;
     uint32_t sequence;
     uint32_t target_sequence;
     uint32_t syns_sent;
     int64_t started_ms;
-    /* When a persistent flow stops sending requests. */
+    /* When the flow stops sending requests. */
     int64_t end_ms;
     uint32_t request_id;
     uint32_t last_request_id;
@@ -46,6 +62,11 @@
     int64_t retransmit_at_ms;
     int64_t retransmit_delay_ms;
     int64_t next_request_ms;
+    /* When the last response arrived, the pause after it, and the lowest idle
+     * limit during that pause. */
+    int64_t responded_ms;
+    int64_t paused_ms;
+    int64_t idle_limit_ms;
 };
 
 static struct SoakInvariants *
@@ -108,10 +129,11 @@
         return;
     }
     flow->is_finished = true;
-    if (flow->is_persistent) {
-        clients->persistent_flows--;
+    clients->counts[flow->kind]--;
+    if (flow->kind != SOAK_FLOW_SINGLE) {
+        return;
     }
-    else if (is_answered) {
+    if (is_answered) {
         clients->outcomes.answered++;
     }
     else {
@@ -124,6 +146,7 @@
 {
     int64_t now_ms = Soak_NowMs();
 
+    flow->paused_ms = flow->responded_ms > 0 ? now_ms - flow->responded_ms : 0;
     flow->last_request_id = flow->request_id;
     flow->request_id = ++flow->client->clients->next_request_id;
     flow->request_sent_ms = now_ms;
@@ -133,8 +156,9 @@
 }
 
 static void
-start_flow(struct SoakClients *self, bool is_persistent)
+start_flow(struct SoakClients *self, enum SoakFlowKind kind)
 {
+    const struct SoakFlowClass *class = &flow_classes[kind];
     struct SoakHarness *harness = self->harness;
     const struct SoakRoute *route =
         &harness->routes[SoakHarness_TrafficRandom(harness, SOAK_ROUTES_MAX)];
@@ -146,7 +170,7 @@
     flow = g_new0(struct SoakFlow, 1);
     flow->client =
         &self->clients[SoakHarness_TrafficRandom(harness, SOAK_CLIENTS)];
-    flow->is_persistent = is_persistent;
+    flow->kind = kind;
     flow->key.client_ipv4 = flow->client->ipv4;
     flow->key.client_port = self->next_port++;
     if (self->next_port < FIRST_PORT) {
@@ -156,14 +180,12 @@
     flow->key.service_port = route->port;
     flow->sequence = g_rand_int(harness->traffic_random);
     flow->started_ms = Soak_NowMs();
-    flow->end_ms = flow->started_ms + PERSISTENT_MIN_MS +
-                   SoakHarness_TrafficRandom(harness, PERSISTENT_MAX_MS -
-                                                          PERSISTENT_MIN_MS);
+    flow->end_ms = flow->started_ms + class->life_min_ms +
+                   SoakHarness_TrafficRandom(harness, class->life_max_ms -
+                                                          class->life_min_ms);
     g_hash_table_replace(self->flows, &flow->key, flow);
-    if (is_persistent) {
-        self->persistent_flows++;
-    }
-    else {
+    self->counts[kind]++;
+    if (kind == SOAK_FLOW_SINGLE) {
         self->outcomes.started++;
     }
 }
@@ -180,6 +202,21 @@
     send_request(flow);
 }
 
+static int64_t
+draw_pause_ms(const struct SoakFlow *flow)
+{
+    struct SoakHarness *harness = flow->client->clients->harness;
+    int64_t left_ms = flow->end_ms - Soak_NowMs();
+    int64_t most_ms =
+        MIN(left_ms, (int64_t)harness->idle_limit_ms - PAUSE_MARGIN_MS);
+
+    if (!flow_classes[flow->kind].pauses || most_ms <= PAUSE_MIN_MS) {
+        return PAUSE_MIN_MS;
+    }
+    return PAUSE_MIN_MS + SoakHarness_TrafficRandom(
+                              harness, (uint32_t)(most_ms - PAUSE_MIN_MS));
+}
+
 static void
 handle_response(struct SoakFlow *flow, const struct SoakPacket *packet)
 {
@@ -197,15 +234,24 @@
         return;
     }
     flow->request_sent_ms = 0;
+    flow->responded_ms = Soak_NowMs();
+    flow->idle_limit_ms = flow->client->clients->harness->idle_limit_ms;
     flow->sequence += 4;
-    if (flow->is_persistent && Soak_NowMs() < flow->end_ms) {
-        flow->next_request_ms = Soak_NowMs() + THINK_TIME_MS;
+    if (Soak_NowMs() < flow->end_ms) {
+        flow->next_request_ms = Soak_NowMs() + draw_pause_ms(flow);
         return;
     }
     send_packet(flow, SOAK_ACK | SOAK_FIN, flow->target_sequence + 1, false);
     end_flow(flow, true);
 }
 
+/* A new configuration may have lowered the idle limit during a pause. */
+static bool
+may_be_discarded(const struct SoakFlow *flow)
+{
+    return flow->paused_ms + PAUSE_MARGIN_MS / 2 > flow->idle_limit_ms;
+}
+
 static void
 handle_reset(struct SoakFlow *flow)
 {
@@ -220,7 +266,7 @@
                 "a flow to port %u was refused while the system was stable",
                 flow->key.service_port);
         }
-        else if (has_target) {
+        else if (has_target && !may_be_discarded(flow)) {
             SoakInvariants_ReportViolation(
                 invariants,
                 "client port %u: an open flow was reset although "
@@ -316,6 +362,9 @@
 step_established(struct SoakFlow *flow, int64_t now_ms)
 {
     if (flow->request_sent_ms == 0) {
+        flow->idle_limit_ms =
+            MIN(flow->idle_limit_ms,
+                flow->client->clients->harness->idle_limit_ms);
         if (now_ms >= flow->next_request_ms) {
             send_request(flow);
         }
@@ -328,7 +377,7 @@
         send_packet(flow, SOAK_ACK, flow->target_sequence + 1, true);
     }
     if (now_ms - flow->request_sent_ms >
-        (flow->is_persistent ? 2 : 1) * REQUEST_TIMEOUT_MS) {
+        (flow->kind != SOAK_FLOW_SINGLE ? 2 : 1) * REQUEST_TIMEOUT_MS) {
         check_response_time(flow, now_ms);
         end_flow(flow, false);
     }
@@ -399,10 +448,12 @@
     if (self->is_sending) {
         if (SoakHarness_TrafficRandom(self->harness, PERCENT) <
             NEW_FLOW_PERCENT) {
-            start_flow(self, false);
+            start_flow(self, SOAK_FLOW_SINGLE);
         }
-        if (self->persistent_flows < PERSISTENT_FLOWS) {
-            start_flow(self, true);
+        for (uint32_t kind = 0; kind < SOAK_FLOW_KINDS; kind++) {
+            if (self->counts[kind] < flow_classes[kind].count) {
+                start_flow(self, (enum SoakFlowKind)kind);
+            }
         }
     }
     g_hash_table_foreach_remove(self->flows, step_flow, NULL);
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -19,8 +19,13 @@
     struct SoakClients *clients;
 };
 
-/* Simulated clients. Most of their flows carry one request; persistent flows
- * carry many. */
+/* Kinds of flows: one request each, many requests in quick succession, and
+ * requests with pauses up to the idle limit of the configuration. */
+enum SoakFlowKind { SOAK_FLOW_SINGLE, SOAK_FLOW_BUSY, SOAK_FLOW_PAUSING };
+
+#define SOAK_FLOW_KINDS 3
+
+/* Simulated clients. Most of their flows carry one request. */
 struct SoakClients {
     struct SoakHarness *harness;
     struct SoakClient clients[SOAK_CLIENTS];
@@ -28,7 +33,8 @@
     GHashTable *flows;
     uint16_t next_port;
     uint32_t next_request_id;
-    uint32_t persistent_flows;
+    /* Open flows of each kind. */
+    uint32_t counts[SOAK_FLOW_KINDS];
     bool is_sending;
     struct SoakOutcomes outcomes;
 };
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -5,20 +5,22 @@
 #include <string.h>
 
 #include "soak_process.h"
+#include "soak_target_changes.h"
 #include "soak_targets.h"
 
 #define GAP_MIN_MS 200
 #define GAP_MAX_MS 1500
-#define FAULT_MIN_MS 200
-#define FAULT_MAX_MS 3000
 #define RESTART_MAX_MS 400
-/* Time from the crash of a target until its entry in the store expires. */
-#define ENTRY_EXPIRY_MS 2000
-/* Time from the end of a target until another one may use its address. */
-#define ADDRESS_REUSE_MS 2000
 #define HTTP_UNAVAILABLE 503
-/* Request timeouts that a change of the configuration gives to all routes. */
+#define SERIES_GAP_MIN_MS 100
+#define SERIES_GAP_MAX_MS 1100
+#define PERCENT 100
+#define PLANNED_ONLY_PERCENT 60
+/* Time from the exit of a balancer until it is ready again. */
+#define BALANCER_START_MS 2500
+/* Values that a change of the configuration gives to all routes. */
 static const uint32_t timeouts_ms[] = {1000, 2000, 5000};
+static const uint32_t idle_limits_ms[] = {5000, 9000, 15000, 30000, 60000};
 
 /* Action that ends a fault, or is a later step of a planned change. */
 struct SoakDeferredAction {
@@ -35,8 +37,8 @@
                 ->balancers[SoakHarness_FaultRandom(harness, SOAK_BALANCERS)];
 }
 
-static struct SoakTarget *
-draw_target(struct SoakHarness *harness, enum SoakTargetState state)
+struct SoakTarget *
+SoakFaults_DrawTarget(struct SoakHarness *harness, enum SoakTargetState state)
 {
     uint32_t start = SoakHarness_FaultRandom(harness, SOAK_AGENTS_MAX);
 
@@ -54,7 +56,8 @@
 static struct SoakProcess *
 draw_process(struct SoakHarness *harness)
 {
-    struct SoakTarget *target = draw_target(harness, SOAK_TARGET_READY);
+    struct SoakTarget *target =
+        SoakFaults_DrawTarget(harness, SOAK_TARGET_READY);
 
     if (target == NULL ||
         SoakHarness_FaultRandom(harness, SOAK_BALANCERS + SOAK_AGENTS_MAX) <
@@ -64,28 +67,18 @@
     return target->agent;
 }
 
-static uint32_t
-count_ready_targets(const struct SoakHarness *harness, uint32_t service)
-{
-    uint32_t count = 0;
-
-    for (uint32_t i = 0; i < SOAK_AGENTS_MAX; i++) {
-        count += harness->targets[i].state == SOAK_TARGET_READY &&
-                 harness->targets[i].service == service;
-    }
-    return count;
-}
-
-static int64_t
-draw_duration_ms(struct SoakHarness *harness, int64_t min_ms, int64_t max_ms)
+int64_t
+SoakFaults_DrawDurationMs(struct SoakHarness *harness, int64_t min_ms,
+                          int64_t max_ms)
 {
     return min_ms +
            SoakHarness_FaultRandom(harness, (uint32_t)(max_ms - min_ms));
 }
 
-static void
-defer(struct SoakFaults *self, int64_t after_ms,
-      void (*run)(struct SoakFaults *, void *), void *context, bool is_fault)
+void
+SoakFaults_Defer(struct SoakFaults *self, int64_t after_ms,
+                 void (*run)(struct SoakFaults *, void *), void *context,
+                 bool is_fault)
 {
     struct SoakDeferredAction *action = g_new0(struct SoakDeferredAction, 1);
 
@@ -129,47 +122,6 @@
     self->harness->store.error_status = 0;
 }
 
-static void
-start_target_and_agent(struct SoakFaults *self, struct SoakTarget *target,
-                       uint32_t service)
-{
-    (void)self;
-    SoakTarget_Start(target, service);
-    target->agent->service = service;
-    if (target->agent->process == NULL) {
-        SoakProcess_Start(target->agent);
-    }
-}
-
-/* Starts the target again, with a new entry in the store. */
-static void
-restart_target(struct SoakFaults *self, void *context)
-{
-    struct SoakTarget *target = context;
-
-    if (target->state == SOAK_TARGET_CRASHED) {
-        start_target_and_agent(self, target, target->service);
-    }
-}
-
-static void
-expire_entry(struct SoakFaults *self, void *context)
-{
-    (void)self;
-    SoakTarget_ExpireCrashedEntry(context);
-}
-
-/* Stops the target and then its agent. */
-static void
-stop_target(struct SoakFaults *self, void *context)
-{
-    struct SoakTarget *target = context;
-
-    (void)self;
-    SoakTarget_Stop(target);
-    SoakProcess_Stop(target->agent, -1);
-}
-
 static void
 restart_balancer(struct SoakFaults *self)
 {
@@ -183,7 +135,8 @@
 static void
 restart_agent(struct SoakFaults *self)
 {
-    struct SoakTarget *target = draw_target(self->harness, SOAK_TARGET_READY);
+    struct SoakTarget *target =
+        SoakFaults_DrawTarget(self->harness, SOAK_TARGET_READY);
 
     if (target != NULL) {
         SoakInvariants_LogNote(&self->harness->invariants, "%s is restarted",
@@ -196,12 +149,13 @@
 kill_process(struct SoakFaults *self)
 {
     struct SoakProcess *process = draw_process(self->harness);
-    int64_t after_ms = draw_duration_ms(self->harness, 0, RESTART_MAX_MS);
+    int64_t after_ms =
+        SoakFaults_DrawDurationMs(self->harness, 0, RESTART_MAX_MS);
 
     SoakInvariants_LogNote(&self->harness->invariants, "%s is killed",
                            process->name);
     SoakProcess_Kill(process, after_ms);
-    defer(self, after_ms, do_nothing, NULL, true);
+    SoakFaults_Defer(self, after_ms, do_nothing, NULL, true);
 }
 
 static void
@@ -211,30 +165,32 @@
 
     SoakInvariants_LogNote(&harness->invariants, "all processes are killed");
     for (uint32_t i = 0; i < SOAK_BALANCERS; i++) {
-        SoakProcess_Kill(&harness->balancers[i],
-                         draw_duration_ms(harness, 0, RESTART_MAX_MS));
+        SoakProcess_Kill(
+            &harness->balancers[i],
+            SoakFaults_DrawDurationMs(harness, 0, RESTART_MAX_MS));
     }
     for (uint32_t i = 0; i < SOAK_AGENTS_MAX; i++) {
         if (harness->targets[i].state == SOAK_TARGET_READY) {
-            SoakProcess_Kill(&harness->agents[i],
-                             draw_duration_ms(harness, 0, RESTART_MAX_MS));
+            SoakProcess_Kill(
+                &harness->agents[i],
+                SoakFaults_DrawDurationMs(harness, 0, RESTART_MAX_MS));
         }
     }
-    defer(self, RESTART_MAX_MS, do_nothing, NULL, true);
+    SoakFaults_Defer(self, RESTART_MAX_MS, do_nothing, NULL, true);
 }
 
 static void
 pause_process(struct SoakFaults *self)
 {
     struct SoakProcess *process = draw_process(self->harness);
-    int64_t duration_ms =
-        draw_duration_ms(self->harness, FAULT_MIN_MS, FAULT_MAX_MS);
+    int64_t duration_ms = SoakFaults_DrawDurationMs(
+        self->harness, SOAK_FAULT_MIN_MS, SOAK_FAULT_MAX_MS);
 
     SoakInvariants_LogNote(&self->harness->invariants,
                            "%s is paused for %" PRId64 " ms", process->name,
                            duration_ms);
     SoakProcess_Pause(process);
-    defer(self, duration_ms, resume_process, process, true);
+    SoakFaults_Defer(self, duration_ms, resume_process, process, true);
 }
 
 static void
@@ -255,8 +211,8 @@
         SoakHarness_FaultRandom(self->harness, SOAK_PROXY_RESET);
     uint32_t count =
         1 + SoakHarness_FaultRandom(self->harness, SOAK_BALANCERS);
-    int64_t duration_ms =
-        draw_duration_ms(self->harness, FAULT_MIN_MS, FAULT_MAX_MS);
+    int64_t duration_ms = SoakFaults_DrawDurationMs(
+        self->harness, SOAK_FAULT_MIN_MS, SOAK_FAULT_MAX_MS);
 
     for (uint32_t i = 0; i < count; i++) {
         struct SoakProcess *process = draw_process(self->harness);
@@ -266,21 +222,21 @@
             "store connections of %s: %s for %" PRId64 " ms", process->name,
             SoakProxyMode_Name(mode), duration_ms);
         SoakProxy_SetMode(&process->proxy, mode);
-        defer(self, duration_ms, restore_proxy, process, true);
+        SoakFaults_Defer(self, duration_ms, restore_proxy, process, true);
     }
 }
 
 static void
 refuse_store_requests(struct SoakFaults *self)
 {
-    int64_t duration_ms =
-        draw_duration_ms(self->harness, FAULT_MIN_MS, FAULT_MAX_MS);
+    int64_t duration_ms = SoakFaults_DrawDurationMs(
+        self->harness, SOAK_FAULT_MIN_MS, SOAK_FAULT_MAX_MS);
 
     SoakInvariants_LogNote(&self->harness->invariants,
                            "the store answers with 503 for %" PRId64 " ms",
                            duration_ms);
     self->harness->store.error_status = HTTP_UNAVAILABLE;
-    defer(self, duration_ms, restore_store, NULL, true);
+    SoakFaults_Defer(self, duration_ms, restore_store, NULL, true);
 }
 
 static void
@@ -289,52 +245,49 @@
     SoakInvariants_LogNote(&self->harness->invariants,
                            "the store discards its history");
     SoakStore_Compact(&self->harness->store);
-    defer(self, 0, do_nothing, NULL, true);
+    SoakFaults_Defer(self, 0, do_nothing, NULL, true);
 }
 
 static void
-crash_target(struct SoakFaults *self)
+stop_for_restart(struct SoakFaults *self, void *context)
 {
-    struct SoakTarget *target = draw_target(self->harness, SOAK_TARGET_READY);
-    int64_t duration_ms =
-        draw_duration_ms(self->harness, FAULT_MIN_MS, FAULT_MAX_MS);
+    struct SoakProcess *process = context;
 
-    if (target == NULL || target->crashed_incarnation != 0 ||
-        count_ready_targets(self->harness, target->service) < 2) {
-        return;
+    (void)self;
+    if (SoakProcess_IsUp(process)) {
+        SoakProcess_Stop(process, RESTART_MAX_MS);
     }
-    SoakInvariants_LogNote(
-        &self->harness->invariants,
-        "the target of %s crashes and is restarted after %" PRId64 " ms",
-        target->agent->name, duration_ms);
-    SoakTarget_Crash(target);
-    defer(self, ENTRY_EXPIRY_MS, expire_entry, target, true);
-    defer(self, duration_ms, restart_target, target, true);
 }
 
-/* Starts a target at an unused address, which may have belonged to another
- * service, and drains and stops an existing one. */
+/* Restarts the agents of a service and the balancers in turn, while others
+ * still stop. */
 static void
-replace_target(struct SoakFaults *self)
+restart_in_turn(struct SoakFaults *self)
 {
     struct SoakHarness *harness = self->harness;
-    struct SoakTarget *replacement = draw_target(harness, SOAK_TARGET_NONE);
-    struct SoakTarget *retiring = draw_target(harness, SOAK_TARGET_READY);
-
-    if (replacement == NULL || retiring == NULL ||
-        replacement->agent->process != NULL ||
-        Soak_NowMs() - replacement->draining_since_ms <
-            SOAK_DRAIN_PROPAGATION_MS + 2 * ADDRESS_REUSE_MS) {
-        return;
+    uint32_t service = SoakHarness_FaultRandom(harness, SOAK_SERVICES);
+    int64_t gap_ms = SoakFaults_DrawDurationMs(harness, SERIES_GAP_MIN_MS,
+                                               SERIES_GAP_MAX_MS);
+    int64_t at_ms = 0;
+
+    SoakInvariants_LogNote(&harness->invariants,
+                           "the agents of service %u and the balancers are "
+                           "restarted in turn, one each %" PRId64 " ms",
+                           service, gap_ms);
+    for (uint32_t i = 0; i < SOAK_AGENTS_MAX; i++) {
+        struct SoakTarget *target = &harness->targets[i];
+
+        if (target->state == SOAK_TARGET_READY && target->service == service) {
+            SoakFaults_Defer(self, at_ms, stop_for_restart, target->agent,
+                             false);
+            at_ms += gap_ms;
+        }
+    }
+    for (uint32_t i = 0; i < SOAK_BALANCERS; i++) {
+        SoakFaults_Defer(self, at_ms, stop_for_restart, &harness->balancers[i],
+                         false);
+        at_ms += gap_ms + BALANCER_START_MS;
     }
-    SoakInvariants_LogNote(
-        &harness->invariants, "%s replaces %s of service %u",
-        replacement->agent->name, retiring->agent->name, retiring->service);
-    start_target_and_agent(self, replacement, retiring->service);
-    SoakTarget_Drain(retiring);
-    defer(self,
-          SOAK_DRAIN_PROPAGATION_MS + draw_duration_ms(harness, 500, 2000),
-          stop_target, retiring, false);
 }
 
 static void
@@ -358,33 +311,50 @@
 static void
 change_timeouts(struct SoakFaults *self)
 {
-    self->harness->timeout_ms = timeouts_ms[SoakHarness_FaultRandom(
-        self->harness, G_N_ELEMENTS(timeouts_ms))];
-    SoakHarness_PublishRoutes(self->harness);
+    struct SoakHarness *harness = self->harness;
+
+    harness->timeout_ms = timeouts_ms[SoakHarness_FaultRandom(
+        harness, G_N_ELEMENTS(timeouts_ms))];
+    harness->idle_limit_ms = idle_limits_ms[SoakHarness_FaultRandom(
+        harness, G_N_ELEMENTS(idle_limits_ms))];
+    SoakHarness_PublishRoutes(harness);
 }
 
 struct SoakFaultKind {
-    /* Relative probability with which the kind is drawn. */
+    /* Relative probabilities with which the kind is drawn, in runs with all
+     * kinds and in runs with planned work and odd entries only. */
     uint32_t weight;
+    uint32_t planned_weight;
     void (*inject)(struct SoakFaults *self);
 };
 
 static const struct SoakFaultKind fault_kinds[] = {
-    {4, restart_balancer},
-    {4, restart_agent},
-    {4, kill_process},
-    {1, kill_all},
-    {4, pause_process},
-    {2, reload_process},
-    {5, disturb_store_connections},
-    {2, refuse_store_requests},
-    {2, compact_store},
-    {3, crash_target},
-    {4, replace_target},
-    {3, change_route},
-    {2, change_timeouts},
+    {4, 4, restart_balancer},
+    {4, 4, restart_agent},
+    {1, 2, restart_in_turn},
+    {4, 0, kill_process},
+    {1, 0, kill_all},
+    {4, 0, pause_process},
+    {2, 1, reload_process},
+    {5, 0, disturb_store_connections},
+    {2, 0, refuse_store_requests},
+    {2, 0, compact_store},
+    {3, 0, SoakTargetChanges_Crash},
+    {1, 1, SoakTargetChanges_CrashAndDrain},
+    {4, 2, SoakTargetChanges_Replace},
+    {2, 3, SoakTargetChanges_Add},
+    {2, 3, SoakTargetChanges_PutForeignEntry},
+    {1, 1, SoakTargetChanges_SpoilEntry},
+    {3, 2, change_route},
+    {2, 2, change_timeouts},
 };
 
+static uint32_t
+weight_of(const struct SoakFaults *self, const struct SoakFaultKind *kind)
+{
+    return self->is_planned_only ? kind->planned_weight : kind->weight;
+}
+
 static void
 inject_drawn_fault(struct SoakFaults *self)
 {
@@ -392,15 +362,17 @@
     uint32_t drawn;
 
     for (size_t i = 0; i < G_N_ELEMENTS(fault_kinds); i++) {
-        total += fault_kinds[i].weight;
+        total += weight_of(self, &fault_kinds[i]);
     }
     drawn = SoakHarness_FaultRandom(self->harness, total);
     for (size_t i = 0; i < G_N_ELEMENTS(fault_kinds); i++) {
-        if (drawn < fault_kinds[i].weight) {
+        uint32_t weight = weight_of(self, &fault_kinds[i]);
+
+        if (drawn < weight) {
             fault_kinds[i].inject(self);
             return;
         }
-        drawn -= fault_kinds[i].weight;
+        drawn -= weight;
     }
 }
 
@@ -409,6 +381,12 @@
 {
     self->harness = harness;
     self->next_fault_ms = 0;
+    self->is_planned_only =
+        SoakHarness_FaultRandom(harness, PERCENT) < PLANNED_ONLY_PERCENT;
+    SoakInvariants_LogNote(&harness->invariants, "%s, seeds %d, idle limit %u",
+                           self->is_planned_only ? "planned work only"
+                                                 : "all faults",
+                           harness->seeds, harness->idle_limit_ms);
     self->deferred_actions = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -439,7 +417,8 @@
     if (is_active && now_ms >= self->next_fault_ms) {
         inject_drawn_fault(self);
         self->next_fault_ms =
-            now_ms + draw_duration_ms(self->harness, GAP_MIN_MS, GAP_MAX_MS);
+            now_ms +
+            SoakFaults_DrawDurationMs(self->harness, GAP_MIN_MS, GAP_MAX_MS);
     }
 }
 
--- a/tests/soak/soak_harness.c
+++ b/tests/soak/soak_harness.c
@@ -80,7 +80,9 @@
             count++ > 0 ? "," : "", ip, self->routes[i].port, self->timeout_ms,
             self->routes[i].service);
     }
-    g_string_append(value, "],\"services\":[],\"limits\":{}}");
+    g_string_append_printf(
+        value, "],\"services\":[],\"limits\":{\"idleTimeoutMs\":%u}}",
+        self->idle_limit_ms);
     SoakStore_Put(&self->store, "op/config", value->str);
     g_string_free(value, TRUE);
 }
--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -11,10 +11,12 @@
 #include "soak_store.h"
 #include "support/process_group.h"
 
+/* Agents have one target each. Not all run at the same time, so that a target
+ * can be replaced by one at another address. */
+#ifndef SOAK_BALANCERS
 #define SOAK_BALANCERS 3
-/* Agents, each with one target. Not all run at the same time, so that a
- * target can be replaced by one at another address. */
 #define SOAK_AGENTS_MAX 8
+#endif
 #define SOAK_CLIENTS 8
 #define SOAK_SERVICES 2
 #define SOAK_ROUTES_MAX 6
@@ -46,6 +48,9 @@
     struct evhttp_connection *probe_connection;
 };
 
+/* Which of the seeds in the settings are addresses without a process. */
+enum SoakSeeds { SOAK_SEEDS_LIVE, SOAK_SEEDS_ONE_STALE, SOAK_SEEDS_STALE };
+
 enum SoakTargetState {
     SOAK_TARGET_NONE,
     SOAK_TARGET_READY,
@@ -67,8 +72,10 @@
     /* Crashed incarnation whose entry is still in the store; 0 if none. */
     uint32_t crashed_incarnation;
     uint64_t sequence_number;
-    /* When the store accepted the draining state. */
+    /* When the store accepted the draining state, and when the target was
+     * stopped. */
     int64_t draining_since_ms;
+    int64_t stopped_ms;
     /* struct SoakTargetFlow by key. */
     GHashTable *flows;
 };
@@ -98,6 +105,9 @@
     uint32_t service_ipv4;
     uint64_t routes_version;
     uint32_t timeout_ms;
+    /* Time for which a flow may be idle. */
+    uint32_t idle_limit_ms;
+    enum SoakSeeds seeds;
     uint16_t packet_port;
     uint16_t readiness_port;
     uint16_t control_port;
@@ -108,8 +118,12 @@
     GHashTable *target_by_request;
 };
 
-/* Formats the loopback address of a balancer (kind 0), agent (1) or client
- * (2) in the address block of this run. */
+/* Kind of the addresses at which no process runs. */
+#define SOAK_STALE_IPS 3
+
+/* Formats the loopback address of a balancer (kind 0), agent (1), client (2)
+ * or process that is gone (SOAK_STALE_IPS) in the address block of this run.
+ */
 void SoakHarness_FormatIp(uint32_t kind, uint32_t index,
                           char ip[SOAK_IP_BYTES]);
 
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -18,10 +18,13 @@
 #define DRAIN_MS 4000
 #define ANSWERED_PERCENT_MIN 98
 #define PERCENT 100
-#define TARGETS_AT_START 6
+/* Three of four agents run at the start. */
+#define TARGETS_AT_START (SOAK_AGENTS_MAX * 3 / 4)
 #define FIRST_ROUTE_PORT 8000
 #define SERVICE_IPV4 0xc6120001U
 #define TIMEOUT_MS 2000
+#define IDLE_LIMIT_MIN_MS 5000
+#define IDLE_LIMIT_MAX_MS 40000
 #define PORT_ATTEMPTS_MAX 50
 /* Below the ephemeral port range of the kernel. */
 #define PORT_MIN 20000
@@ -164,6 +167,16 @@
     g_error("no free port");
 }
 
+static enum SoakSeeds
+draw_seeds(struct SoakHarness *harness)
+{
+    static const enum SoakSeeds seeds[] = {SOAK_SEEDS_LIVE, SOAK_SEEDS_LIVE,
+                                           SOAK_SEEDS_ONE_STALE,
+                                           SOAK_SEEDS_STALE};
+
+    return seeds[SoakHarness_FaultRandom(harness, G_N_ELEMENTS(seeds))];
+}
+
 static void
 init_harness(struct SoakHarness *harness, uint32_t seed)
 {
@@ -174,6 +187,11 @@
     harness->target_by_request = g_hash_table_new(NULL, NULL);
     harness->service_ipv4 = SERVICE_IPV4;
     harness->timeout_ms = TIMEOUT_MS;
+    harness->seeds = draw_seeds(harness);
+    harness->idle_limit_ms =
+        IDLE_LIMIT_MIN_MS +
+        SoakHarness_FaultRandom(harness,
+                                IDLE_LIMIT_MAX_MS - IDLE_LIMIT_MIN_MS);
     harness->packet_port = find_free_port(2, SOAK_CLIENTS);
     harness->target_port = find_free_port(1, SOAK_AGENTS_MAX);
     harness->outbound_port = (uint16_t)(harness->target_port + 1);
--- a/tests/soak/soak_process.c
+++ b/tests/soak/soak_process.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/wait.h>
 
+#define SEEDS 3
 #define PROBE_PERIOD_MS 250
 #define PROBE_TIMEOUT_US 400000
 #define FAILED_PROBES_MAX 2
@@ -28,9 +29,13 @@
         self->ip, harness->readiness_port, self->ip, harness->control_port,
         self->ip, harness->outbound_port, harness->peer_port,
         harness->peer_port + 1, self->proxy.port);
-    for (uint32_t i = 0; i < SOAK_BALANCERS; i++) {
-        g_string_append_printf(text, "%s\"%s:%u\"", i > 0 ? "," : "",
-                               harness->balancers[i].ip,
+    for (uint32_t i = 0; i < MIN(SOAK_BALANCERS, SEEDS); i++) {
+        bool is_stale = harness->seeds == SOAK_SEEDS_STALE ||
+                        (harness->seeds == SOAK_SEEDS_ONE_STALE && i == 0);
+        char ip[SOAK_IP_BYTES];
+
+        SoakHarness_FormatIp(is_stale ? SOAK_STALE_IPS : 0, i, ip);
+        g_string_append_printf(text, "%s\"%s:%u\"", i > 0 ? "," : "", ip,
                                harness->control_port);
     }
     g_string_append_c(text, ']');
--- a/tests/soak/soak_targets.c
+++ b/tests/soak/soak_targets.c
@@ -10,6 +10,7 @@
 #define SERVICE_TIME_SPREAD_MS 25
 #define REQUEST_BYTES 4
 #define KEY_BYTES 64
+#define ZONES 2
 
 struct SoakTargetFlow {
     struct SoakTarget *target;
@@ -240,20 +241,37 @@
                incarnation);
 }
 
+static void
+put_entry(struct SoakTarget *self, const char *key, const char *state,
+          const struct SoakEntryChange *change)
+{
+    struct SoakEntry entry = {
+        .service = self->service,
+        .ip = self->agent->ip,
+        .port = self->harness->target_port,
+        .zone = self->agent->ipv4 % ZONES,
+        .state = state,
+        .sequence_number = ++self->sequence_number,
+    };
+    char *value = SoakEntry_Format(&entry, change);
+
+    SoakStore_Put(&self->harness->store, key, value);
+    g_free(value);
+}
+
 static void
 publish_entry(struct SoakTarget *self, const char *state)
 {
     char key[KEY_BYTES];
-    gchar *value = g_strdup_printf(
-        "{\"service\":\"service-%u\",\"address\":\"%s:%u\",\"zone\":"
-        "\"zone-%u\",\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
-        "\"coldLeftMs\":0,\"seqNo\":%" PRIu64 "}",
-        self->service, self->agent->ip, self->harness->target_port,
-        self->agent->ipv4 % 2, state, ++self->sequence_number);
 
     format_entry_key(self, self->incarnation, key);
-    SoakStore_Put(&self->harness->store, key, value);
-    g_free(value);
+    put_entry(self, key, state, NULL);
+}
+
+static void
+format_foreign_key(const struct SoakTarget *self, char key[KEY_BYTES])
+{
+    g_snprintf(key, KEY_BYTES, "servers/inventory-%s", self->agent->name);
 }
 
 static void
@@ -291,8 +309,15 @@
 void
 SoakTarget_Start(struct SoakTarget *self, uint32_t service)
 {
-    g_hash_table_remove_all(self->flows);
     self->incarnation++;
+    SoakTarget_StartUnderOldId(self, service);
+}
+
+void
+SoakTarget_StartUnderOldId(struct SoakTarget *self, uint32_t service)
+{
+    g_hash_table_remove_all(self->flows);
+    self->sequence_number = 0;
     self->service = service;
     self->state = SOAK_TARGET_READY;
     publish_entry(self, "ready");
@@ -310,6 +335,7 @@
 SoakTarget_Stop(struct SoakTarget *self)
 {
     self->state = SOAK_TARGET_NONE;
+    self->stopped_ms = Soak_NowMs();
     g_hash_table_remove_all(self->flows);
     remove_entry(self, self->incarnation);
 }
@@ -325,10 +351,49 @@
 void
 SoakTarget_ExpireCrashedEntry(struct SoakTarget *self)
 {
-    remove_entry(self, self->crashed_incarnation);
+    if (self->crashed_incarnation != self->incarnation) {
+        remove_entry(self, self->crashed_incarnation);
+    }
     self->crashed_incarnation = 0;
 }
 
+void
+SoakTarget_PutForeignEntry(struct SoakTarget *self,
+                           const struct SoakEntryChange *change)
+{
+    char key[KEY_BYTES];
+
+    format_foreign_key(self, key);
+    put_entry(self, key, "ready", change);
+}
+
+void
+SoakTarget_RemoveForeignEntry(struct SoakTarget *self)
+{
+    char key[KEY_BYTES];
+
+    format_foreign_key(self, key);
+    SoakStore_Put(&self->harness->store, key, NULL);
+}
+
+void
+SoakTarget_SpoilEntry(struct SoakTarget *self,
+                      const struct SoakEntryChange *change)
+{
+    char key[KEY_BYTES];
+
+    format_entry_key(self, self->incarnation, key);
+    put_entry(self, key, "ready", change);
+}
+
+void
+SoakTarget_RestoreEntry(struct SoakTarget *self)
+{
+    if (self->state == SOAK_TARGET_READY) {
+        publish_entry(self, "ready");
+    }
+}
+
 struct SoakTarget *
 SoakTargets_FindFlowOwner(struct SoakHarness *harness,
                           const struct SoakFlowKey *flow)
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -7,7 +7,7 @@
 SEED=$2
 COUNT=$3
 JOBS=$4
-SECONDS_OF_FAULTS=15
+SECONDS_OF_FAULTS=30
 {
   grep -v '^#' tests/soak/seeds.txt | cut -d' ' -f1,2
   for ((i = 0; i < COUNT; i++)); do
