Rank anew when a cached agent's address has another service

Cause: the balancer's cache had the agent that it had ranked first for the flow. That agent had located the owner and would have told the balancer with the next packet. During the pause its address went to another service, so all later packets were dropped there as those of a wrong service, without a lookup.

Evidence: the balancer logs steered to agent-6 once, agent-6 logs located, and no process logs the flow again; agent-6 joined the other service 9 s before the request.

Fix: a cached agent is used only while its address is not listed with another service. One that is missing from the list is still used: entries expire and come back.

--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -162,6 +162,19 @@
     return is_avoided(&self->failure_detector, instance, now_us);
 }
 
+/* Returns true if the address of a cached agent is now that of an agent of
+ * another service, which would drop the packets. An agent that is missing from
+ * the list may be back soon. */
+static bool
+has_other_service(const struct GbSteering *self, uint32_t agent_ipv4,
+                  uint32_t service_id)
+{
+    const struct GbInstance *instance =
+        GbRoutingView_FindIpv4(self->view, agent_ipv4);
+
+    return instance != NULL && instance->service_id != service_id;
+}
+
 /* Records a notice as a sign of life. A draining agent keeps its flows but
  * accepts no new ones. */
 static void
@@ -251,8 +264,10 @@
     packet->syn_age_ms = 0;
     packet->request_age_ms = 0;
     agent_ipv4 = GbFlowCache_Find(&self->cache, &packet->key, now_us);
-    if (agent_ipv4 == 0 || (GbPacket_IsSyn(packet) &&
-                            is_agent_unavailable(self, agent_ipv4, now_us))) {
+    if (agent_ipv4 == 0 ||
+        has_other_service(self, agent_ipv4, packet->service_id) ||
+        (GbPacket_IsSyn(packet) &&
+         is_agent_unavailable(self, agent_ipv4, now_us))) {
         agent_ipv4 = choose_agent(self, packet, now_us);
     }
     if (agent_ipv4 != 0) {
--- a/tests/test_steering.c
+++ b/tests/test_steering.c
@@ -396,6 +396,57 @@
     finish_fixture(&fixture);
 }
 
+struct ReusedAddressCase {
+    const char *name;
+    /* Service of the agent at the cached address in the new list; NULL if the
+     * address is missing. */
+    const char *service;
+    bool is_cached_agent_used;
+};
+
+static const struct ReusedAddressCase reused_address_cases[] = {
+    {"same service", GB_FLOW_FIXTURE_SERVICE, true},
+    {"another service", "packs", false},
+    {"missing for a while", NULL, true},
+};
+
+/* Fault pattern: the address of a cached agent, which had handed the flow
+ * over, is reused by another service while the flow pauses. Guards against a
+ * flow whose packets are all dropped there. */
+static void
+test_address_of_cached_agent_is_reused(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(reused_address_cases); i++) {
+        const struct ReusedAddressCase *row = &reused_address_cases[i];
+        struct GbFlowKey key = GbFlowFixture_Key(7);
+        struct GbRoutingView *view = GbFlowFixture_NewView(AGENTS, 2);
+        struct Fixture fixture;
+        uint32_t first_ipv4;
+        uint32_t next_ipv4;
+
+        g_test_message("%s", row->name);
+        init_fixture(&fixture, "a");
+        first_ipv4 = send_packet(&fixture, &key, GB_PACKET_SYN);
+        for (uint32_t n = 0; n < AGENTS; n++) {
+            struct GbInstance *instance = &view->list->instances[n];
+
+            if (instance->address.ipv4 == first_ipv4 && row->service == NULL) {
+                instance->address.ipv4 = GB_FLOW_FIXTURE_BALANCER_IPV4;
+            }
+            else if (instance->address.ipv4 == first_ipv4) {
+                instance->service_id = GbRouteTable_ServiceId(row->service);
+            }
+        }
+        GbSteering_SetView(&fixture.steering,
+                           GbRoutingView_New(view->routes, view->list));
+        GbRoutingView_Unref(view);
+        next_ipv4 = send_packet(&fixture, &key, GB_PACKET_ACK);
+        g_assert_cmpuint(next_ipv4, !=, 0);
+        g_assert_true((next_ipv4 == first_ipv4) == row->is_cached_agent_used);
+        finish_fixture(&fixture);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -410,6 +461,8 @@
                     test_agent_misses_reports);
     g_test_add_func("/steering/retransmission-to-dead-agent",
                     test_retransmission_to_dead_agent);
+    g_test_add_func("/steering/address-of-cached-agent-is-reused",
+                    test_address_of_cached_agent_is_reused);
     g_test_add_func("/steering/agent-is-draining", test_agent_is_draining);
     g_test_add_func("/steering/reporting-agent-is-not-suspected",
                     test_reporting_agent_is_not_suspected);
