Forget hand-overs to an address that another service uses now

Cause: an agent that handed a flow over goes on forwarding its packets to the address of the other agent, and names it as the owner, also when that address has been reused by another service meanwhile.

Fix: such a record is forgotten when it is looked up, so that the packet goes to the own target first and then to a lookup. Only listed agents of the own service are accepted as owners.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -119,7 +119,7 @@
         GbFlowLocation_ReportReturnedProbe(self, packet);
         return;
     }
-    flow = GbPacketFlowTable_Find(&self->flows, &packet->key);
+    flow = GbFlowAgent_FindFlow(self, &packet->key);
     if (flow != NULL && flow->state == GB_PACKET_FLOW_REMOTE) {
         GbFlowAdmission_ForwardToAgent(self, packet, flow->owner_ipv4, 0);
         return;
@@ -177,6 +177,31 @@
     self->port->klass->record_decision(self->port, decision);
 }
 
+static bool
+is_owner_replaced(const struct GbFlowAgent *self,
+                  const struct GbPacketFlow *flow)
+{
+    const struct GbInstance *owner;
+
+    if (flow->state != GB_PACKET_FLOW_REMOTE || self->view == NULL) {
+        return false;
+    }
+    owner = GbRoutingView_FindIpv4(self->view, flow->owner_ipv4);
+    return owner != NULL && owner->service_id != self->config.service_id;
+}
+
+struct GbPacketFlow *
+GbFlowAgent_FindFlow(struct GbFlowAgent *self, const struct GbFlowKey *key)
+{
+    struct GbPacketFlow *flow = GbPacketFlowTable_Find(&self->flows, key);
+
+    if (flow != NULL && is_owner_replaced(self, flow)) {
+        GbFlowLoad_RemoveFlow(self, flow);
+        return NULL;
+    }
+    return flow;
+}
+
 void
 GbFlowAgent_RecordDecision(struct GbFlowAgent *self,
                            enum GbFlowDecisionKind kind,
@@ -309,7 +334,7 @@
     if (balancer_ipv4 != 0) {
         GbFlowLoad_RecordBalancer(self, balancer_ipv4, now_us);
     }
-    flow = GbPacketFlowTable_Find(&self->flows, &packet->key);
+    flow = GbFlowAgent_FindFlow(self, &packet->key);
     if (packet->hops == GB_FLOW_HOPS_PROBE) {
         GbFlowLocation_ReceiveProbe(self, from_ipv4, packet, flow);
     }
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -80,6 +80,11 @@
     bool is_draining;
 };
 
+/* Returns the flow with this key, or NULL. A flow that was handed over to an
+ * address which another service uses now is forgotten. */
+struct GbPacketFlow *GbFlowAgent_FindFlow(struct GbFlowAgent *self,
+                                          const struct GbFlowKey *key);
+
 /* Passes a decision to the port for logging. */
 void GbFlowAgent_RecordDecision(struct GbFlowAgent *self,
                                 enum GbFlowDecisionKind kind,
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -8,14 +8,15 @@
 /* The client repeats a packet after this time. */
 #define VIEW_WAIT_US INT64_C(200000)
 
-/* Only listed processes may name the owner of a flow, or be named as it. */
+/* Only listed agents of the service may name the owner of a flow, or be named
+ * as it. */
 static bool
 is_listed(const struct GbFlowAgent *self, uint32_t ipv4)
 {
     const struct GbInstance *instance =
         self->view != NULL ? GbRoutingView_FindIpv4(self->view, ipv4) : NULL;
 
-    return instance != NULL;
+    return instance != NULL && instance->service_id == self->config.service_id;
 }
 
 static void
@@ -253,8 +254,7 @@
                             const struct GbFlowNotice *notice)
 {
     int64_t now_us = GbClock_MonotonicUs(self->clock);
-    const struct GbPacketFlow *flow =
-        GbPacketFlowTable_Find(&self->flows, &notice->key);
+    const struct GbPacketFlow *flow = GbFlowAgent_FindFlow(self, &notice->key);
     struct GbFlowNotice reply = *notice;
 
     /* A flow that was handed over to the sender, which does not have it, may
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -306,6 +306,60 @@
     }
 }
 
+struct ReplacedOwnerCase {
+    const char *name;
+    /* Service of the owner's address in the new list. */
+    const char *service;
+    uint32_t forwards;
+    uint32_t deliveries;
+    enum GbFlowNoticeKind reply;
+};
+
+static const struct ReplacedOwnerCase replaced_owner_cases[] = {
+    {"same service", GB_FLOW_FIXTURE_SERVICE, 1, 0, GB_FLOW_NOTICE_OWNER},
+    {"another service", "packs", 0, 1, GB_FLOW_NOTICE_OWNER_UNKNOWN},
+};
+
+/* Fault pattern: a flow was handed over, and the address of the other agent is
+ * reused by another service while the flow pauses. Guards against packets that
+ * are all dropped there, and against naming that agent as the owner. */
+static void
+test_address_of_owner_is_reused(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(replaced_owner_cases); i++) {
+        const struct ReplacedOwnerCase *row = &replaced_owner_cases[i];
+        struct GbRoutingView *view = GbFlowFixture_NewView(3, 2);
+        struct GbFlowNotice query =
+            make_notice(GB_FLOW_NOTICE_OWNER_QUERY, 100);
+        struct GbFlowAgentFixture fixture;
+
+        g_test_message("%s", row->name);
+        GbFlowAgentFixture_Init(&fixture, 2);
+        GbFlowAgent_Drain(&fixture.agent);
+        GbFlowAgentFixture_ReceiveFromBalancer(&fixture, 100, GB_PACKET_SYN, 0,
+                                               0);
+        view->list->instances[1].service_id =
+            GbRouteTable_ServiceId(row->service);
+        GbFlowAgent_SetView(&fixture.agent, view);
+        GbFlowRecorder_Clear(&fixture.recorder);
+        GbFlowAgent_ReceiveNotice(&fixture.agent,
+                                  GB_FLOW_FIXTURE_AGENT_IPV4 + 2, &query);
+        g_assert_cmpint(
+            GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_NOTIFY)
+                ->notice.kind,
+            ==, row->reply);
+        GbFlowAgentFixture_ReceiveFromBalancer(&fixture, 100, GB_PACKET_ACK, 7,
+                                               200);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_FORWARD),
+            ==, row->forwards);
+        g_assert_cmpuint(
+            GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_DELIVER),
+            ==, row->deliveries);
+        GbFlowAgentFixture_Finish(&fixture);
+    }
+}
+
 struct ProbedTargetCase {
     const char *name;
     uint8_t flags;
@@ -474,6 +528,8 @@
     g_test_add_func("/flow-location/repeated-replies", test_repeated_replies);
     g_test_add_func("/flow-location/target-joins-and-flows-move",
                     test_target_joins_and_flows_move);
+    g_test_add_func("/flow-location/address-of-owner-is-reused",
+                    test_address_of_owner_is_reused);
     g_test_add_func("/flow-location/probe-of-own-target",
                     test_probe_of_own_target);
     g_test_add_func("/flow-location/list-changes-in-a-large-service",
