Check in the soak that routes never go back, and overlap restarts

A SYN packet for a route that was listed again shows which version its balancer follows; one for a route that an older version removed is then a violation. For this, some flows are opened on routes that are not listed. Balancers are restarted in turn while the agents are, no longer after them, and three of five pauses are short, so that more packets meet a change.

--- a/tests/soak/soak_clients.c
+++ b/tests/soak/soak_clients.c
@@ -10,9 +10,12 @@
 #include "soak_targets.h"
 
 #define NEW_FLOW_PERCENT 60
+/* Of the flows that would go to a route that is not listed. */
+#define UNLISTED_PERCENT 30
 #define PERCENT 100
 #define REQUEST_TIMEOUT_MS 2500
 #define PAUSE_MIN_MS 300
+#define SHORT_PAUSE_PERCENT 60
 /* A pause ends this long before the flow may be discarded. */
 #define PAUSE_MARGIN_MS 500
 #define CONNECT_TIMEOUT_MS 1400
@@ -40,13 +43,15 @@
 static const struct SoakFlowClass flow_classes[SOAK_FLOW_KINDS] = {
     [SOAK_FLOW_SINGLE] = {0, 0, 1, false},
     [SOAK_FLOW_BUSY] = {10, 3000, 12000, false},
-    [SOAK_FLOW_PAUSING] = {48, 15000, 50000, true},
+    [SOAK_FLOW_PAUSING] = {80, 15000, 50000, true},
 };
 
 struct SoakFlow {
     struct SoakFlowKey key;
     struct SoakClient *client;
     enum SoakFlowKind kind;
+    /* Counts for the outcomes: opened for one request, on a listed route. */
+    bool is_counted;
     bool is_open;
     bool is_finished;
     uint32_t sequence;
@@ -99,13 +104,23 @@
            flow->started_ms - route->changed_ms > SOAK_ROUTE_PROPAGATION_MS;
 }
 
+static void
+record_syn(const struct SoakFlow *flow, struct SoakProcess *balancer)
+{
+    struct SoakSyn *syn = g_new0(struct SoakSyn, 1);
+
+    syn->flow = flow->key;
+    syn->balancer = balancer;
+    syn->sent_ms = Soak_NowMs();
+    g_hash_table_replace(balancer->harness->syns, &syn->flow, syn);
+}
+
 static void
 send_packet(struct SoakFlow *flow, uint8_t flags, uint32_t acknowledgement,
             bool has_request)
 {
     struct SoakHarness *harness = flow->client->clients->harness;
-    const struct SoakProcess *balancer =
-        SoakBalancers_Select(harness, &flow->key);
+    struct SoakProcess *balancer = SoakBalancers_Select(harness, &flow->key);
     struct SoakPacket packet = {.flow = flow->key,
                                 .is_from_client = true,
                                 .flags = flags,
@@ -115,6 +130,9 @@
                                 .request_id = flow->request_id};
     uint8_t bytes[SOAK_PACKET_BYTES_MAX];
 
+    if ((flags & SOAK_SYN) != 0) {
+        record_syn(flow, balancer);
+    }
     SoakHarness_SendDatagram(flow->client->fd, balancer->ip,
                              harness->packet_port, bytes,
                              SoakPacket_Encode(&packet, bytes));
@@ -130,7 +148,8 @@
     }
     flow->is_finished = true;
     clients->counts[flow->kind]--;
-    if (flow->kind != SOAK_FLOW_SINGLE) {
+    g_hash_table_remove(clients->harness->syns, &flow->key);
+    if (!flow->is_counted) {
         return;
     }
     if (is_answered) {
@@ -164,7 +183,9 @@
         &harness->routes[SoakHarness_TrafficRandom(harness, SOAK_ROUTES_MAX)];
     struct SoakFlow *flow;
 
-    if (!route->is_listed) {
+    if (!route->is_listed &&
+        (kind != SOAK_FLOW_SINGLE ||
+         SoakHarness_TrafficRandom(harness, PERCENT) >= UNLISTED_PERCENT)) {
         return;
     }
     flow = g_new0(struct SoakFlow, 1);
@@ -185,7 +206,8 @@
                                                           class->life_min_ms);
     g_hash_table_replace(self->flows, &flow->key, flow);
     self->counts[kind]++;
-    if (kind == SOAK_FLOW_SINGLE) {
+    flow->is_counted = kind == SOAK_FLOW_SINGLE && route->is_listed;
+    if (flow->is_counted) {
         self->outcomes.started++;
     }
 }
@@ -210,7 +232,8 @@
     int64_t most_ms =
         MIN(left_ms, (int64_t)harness->idle_limit_ms - PAUSE_MARGIN_MS);
 
-    if (!flow_classes[flow->kind].pauses || most_ms <= PAUSE_MIN_MS) {
+    if (!flow_classes[flow->kind].pauses || most_ms <= PAUSE_MIN_MS ||
+        SoakHarness_TrafficRandom(harness, PERCENT) < SHORT_PAUSE_PERCENT) {
         return PAUSE_MIN_MS;
     }
     return PAUSE_MIN_MS + SoakHarness_TrafficRandom(
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -259,8 +259,8 @@
     }
 }
 
-/* Restarts the agents of a service and the balancers in turn, while others
- * still stop. */
+/* Restarts the agents of a service in turn, some while others still stop, and
+ * at the same time the balancers in turn. */
 static void
 restart_in_turn(struct SoakFaults *self)
 {
@@ -268,7 +268,8 @@
     uint32_t service = SoakHarness_FaultRandom(harness, SOAK_SERVICES);
     int64_t gap_ms = SoakFaults_DrawDurationMs(harness, SERIES_GAP_MIN_MS,
                                                SERIES_GAP_MAX_MS);
-    int64_t at_ms = 0;
+    int64_t agent_ms = 0;
+    int64_t balancer_ms = 0;
 
     SoakInvariants_LogNote(&harness->invariants,
                            "the agents of service %u and the balancers are "
@@ -278,15 +279,15 @@
         struct SoakTarget *target = &harness->targets[i];
 
         if (target->state == SOAK_TARGET_READY && target->service == service) {
-            SoakFaults_Defer(self, at_ms, stop_for_restart, target->agent,
+            SoakFaults_Defer(self, agent_ms, stop_for_restart, target->agent,
                              false);
-            at_ms += gap_ms;
+            agent_ms += gap_ms;
         }
     }
     for (uint32_t i = 0; i < SOAK_BALANCERS; i++) {
-        SoakFaults_Defer(self, at_ms, stop_for_restart, &harness->balancers[i],
-                         false);
-        at_ms += gap_ms + BALANCER_START_MS;
+        SoakFaults_Defer(self, balancer_ms, stop_for_restart,
+                         &harness->balancers[i], false);
+        balancer_ms += gap_ms + BALANCER_START_MS;
     }
 }
 
@@ -301,7 +302,9 @@
                                                               SOAK_SERVICES)];
 
     route->is_listed = !route->is_listed;
+    route->previous_changed_ms = route->changed_ms;
     route->changed_ms = Soak_NowMs();
+    route->changed_version = harness->routes_version + 1;
     SoakInvariants_LogNote(&harness->invariants, "the route of port %u was %s",
                            route->port,
                            route->is_listed ? "added" : "removed");
--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -46,6 +46,17 @@
     uint32_t failed_probes;
     int64_t next_probe_ms;
     struct evhttp_connection *probe_connection;
+    /* Highest version of the routes that the running process has been seen to
+     * follow, and since when; balancers only. */
+    uint64_t followed_version;
+    int64_t followed_since_ms;
+};
+
+/* Balancer to which the last SYN packet of a flow was sent. */
+struct SoakSyn {
+    struct SoakFlowKey flow;
+    struct SoakProcess *balancer;
+    int64_t sent_ms;
 };
 
 /* Which of the seeds in the settings are addresses without a process. */
@@ -84,8 +95,11 @@
     uint16_t port;
     uint32_t service;
     bool is_listed;
-    /* When the store accepted the last change. */
+    /* When the store accepted the last change and the one before, and the
+     * version of the last one. */
     int64_t changed_ms;
+    int64_t previous_changed_ms;
+    uint64_t changed_version;
 };
 
 /* Test environment of the processes under test. */
@@ -114,6 +128,8 @@
     uint16_t target_port;
     uint16_t outbound_port;
     uint16_t peer_port;
+    /* struct SoakSyn by flow, of all flows whose clients are not done. */
+    GHashTable *syns;
     /* Index plus one of the target that executed a request, by request id. */
     GHashTable *target_by_request;
 };
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -185,6 +185,7 @@
     harness->traffic_random = g_rand_new_with_seed(seed);
     harness->fault_random = g_rand_new_with_seed(seed);
     harness->target_by_request = g_hash_table_new(NULL, NULL);
+    harness->syns = SoakFlowKey_NewTable(g_free);
     harness->service_ipv4 = SERVICE_IPV4;
     harness->timeout_ms = TIMEOUT_MS;
     harness->seeds = draw_seeds(harness);
@@ -261,6 +262,7 @@
     }
     SoakStore_Close(&harness->store);
     g_hash_table_destroy(harness->target_by_request);
+    g_hash_table_destroy(harness->syns);
     g_rand_free(harness->traffic_random);
     g_rand_free(harness->fault_random);
     event_base_free(harness->base);
--- a/tests/soak/soak_process.c
+++ b/tests/soak/soak_process.c
@@ -180,6 +180,7 @@
     self->is_killed = false;
     self->is_paused = false;
     self->failed_probes = 0;
+    self->followed_version = 0;
     g_free(text);
     g_free(path);
 }
--- a/tests/soak/soak_targets.c
+++ b/tests/soak/soak_targets.c
@@ -77,6 +77,48 @@
     return NULL;
 }
 
+/* Returns true if no balancer can still follow the version before the last
+ * removal of the route. */
+static bool
+was_unlisted_for_long(const struct SoakRoute *route)
+{
+    return route->changed_ms - route->previous_changed_ms >
+           SOAK_ROUTE_PROPAGATION_MS;
+}
+
+/* A SYN packet for a route shows that its balancer follows the version that
+ * listed the route, and one for a route that is not listed that it follows an
+ * older version than the one that removed it. */
+static void
+check_version(struct SoakTarget *self, const struct SoakRoute *route,
+              const struct SoakPacket *packet)
+{
+    const struct SoakSyn *syn =
+        g_hash_table_lookup(self->harness->syns, &packet->flow);
+    struct SoakProcess *balancer;
+
+    if (syn == NULL) {
+        return;
+    }
+    balancer = syn->balancer;
+    if (route->is_listed && was_unlisted_for_long(route) &&
+        route->changed_version > balancer->followed_version) {
+        balancer->followed_version = route->changed_version;
+        balancer->followed_since_ms = Soak_NowMs();
+    }
+    else if (!route->is_listed &&
+             route->changed_version <= balancer->followed_version &&
+             syn->sent_ms - balancer->followed_since_ms >
+                 SOAK_ROLLBACK_SLACK_MS) {
+        SoakInvariants_ReportViolation(
+            &self->harness->invariants,
+            "%s forwards a SYN for port %u, removed by version %" PRIu64
+            ", although it has followed version %" PRIu64,
+            balancer->name, route->port, route->changed_version,
+            balancer->followed_version);
+    }
+}
+
 /* Checks the invariants for a received SYN packet. */
 static void
 check_syn(struct SoakTarget *self, const struct SoakPacket *packet)
@@ -95,6 +137,7 @@
     if (!SoakInvariants_IsStable(invariants)) {
         return;
     }
+    check_version(self, route, packet);
     if (self->state == SOAK_TARGET_DRAINING &&
         now_ms - self->draining_since_ms > SOAK_DRAIN_PROPAGATION_MS) {
         SoakInvariants_ReportViolation(
--- a/tests/soak/soak_targets.h
+++ b/tests/soak/soak_targets.h
@@ -8,6 +8,9 @@
  * removal of a route, within which new flows may still arrive for it. */
 #define SOAK_DRAIN_PROPAGATION_MS 3000
 #define SOAK_ROUTE_PROPAGATION_MS 3000
+/* Time after a balancer was seen to follow a version of the routes within
+ * which it may still act on an older one. */
+#define SOAK_ROLLBACK_SLACK_MS 250
 
 void SoakTarget_Init(struct SoakTarget *self, struct SoakHarness *harness,
                      struct SoakProcess *agent);
