Treat an entry that gets an unknown service as removed

Cause: another writer had overwritten the entry of the target with a service that has no route. The entry was taken as it is, so the agent was no longer queried as one of the service, and all others replied that they do not own the flow.

Evidence: the revision of the overwritten entry reaches the balancer and agent-2 0.25 s before the line lost of agent-2; no line instance_unusable names the key. Ruled out: the tables of the agents, which had been running for 4 s with a limit of 31 s, so that they could deny nothing but by a probe of the listed agents.

Fix: an instance in use whose new service has no route is removed, which keeps it in use for 2.2 s like one whose entry cannot be read.

--- a/src/coordination/flows/view_store.c
+++ b/src/coordination/flows/view_store.c
@@ -211,6 +211,18 @@
     g_hash_table_destroy(listed);
 }
 
+/* Returns true if an instance in use would get a service without a route.
+ * Another writer has overwritten its entry then, which names no instance but
+ * may be restored. */
+static bool
+loses_service(const struct GbViewStore *self, const struct GbViewEntry *entry,
+              const struct GbInstance *instance)
+{
+    return self->routes != NULL && is_in_use(entry) &&
+           GbRouteTable_HasService(self->routes, entry->instance.service_id) &&
+           !GbRouteTable_HasService(self->routes, instance->service_id);
+}
+
 void
 GbViewStore_Init(struct GbViewStore *self, struct GbClock *clock)
 {
@@ -253,6 +265,10 @@
     if (entry != NULL && revision <= entry->revision) {
         return;
     }
+    if (entry != NULL && loses_service(self, entry, instance)) {
+        remove_entry(self, entry, revision);
+        return;
+    }
     if (entry == NULL) {
         entry = add_entry(self, instance);
         self->is_changed = true;
--- a/src/coordination/flows/view_store.h
+++ b/src/coordination/flows/view_store.h
@@ -60,7 +60,8 @@
 bool GbViewStore_SetRoutes(struct GbViewStore *self,
                            struct GbRouteTable *routes);
 
-/* Adds or updates an instance that was written at this revision. */
+/* Adds or updates an instance that was written at this revision. An instance
+ * in use whose new service has no route is removed. */
 void GbViewStore_PutInstance(struct GbViewStore *self,
                              const struct GbInstance *instance,
                              uint64_t revision);
--- a/tests/test_view_store.c
+++ b/tests/test_view_store.c
@@ -305,6 +305,59 @@
     }
 }
 
+struct OverwrittenCase {
+    const char *name;
+    /* Service that the entry of "one" gets from another writer. */
+    const char *service;
+    int64_t after_us;
+    /* The instance writes its entry again. */
+    bool is_restored;
+    /* Service of the instance in use; NULL if there is none. */
+    const char *expected;
+};
+
+static const struct OverwrittenCase overwritten_cases[] = {
+    {"unknown service, just now", "unknown", 0, false, "hints"},
+    {"unknown service, 2 s ago", "unknown", 2000 * MS, false, "hints"},
+    {"unknown service, 2.5 s ago", "unknown", 2500 * MS, false, NULL},
+    {"restored after 2 s", "unknown", 2000 * MS, true, "hints"},
+    {"restored after 2.5 s", "unknown", 2500 * MS, true, "hints"},
+    {"another service", "packs", 0, false, "packs"},
+};
+
+/* Fault pattern: another writer overwrites the entry of a host with a service
+ * that does not exist. Guards against resets of the flows of that host, which
+ * would no longer be queried, and against using the entry for good. */
+static void
+test_entry_gets_unknown_service(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(overwritten_cases); i++) {
+        const struct OverwrittenCase *row = &overwritten_cases[i];
+        struct GbInstance odd = make_instance("one", row->service, 1, false);
+        struct GbInstance good = make_instance("one", "hints", 1, false);
+        struct Fixture fixture;
+        struct GbRoutingView *view;
+
+        g_test_message("%s", row->name);
+        init_fixture(&fixture);
+        set_routed_services(&fixture);
+        GbViewStore_PutInstance(&fixture.store, &odd, 11);
+        GbViewStore_PutInstance(&fixture.store, &odd, 12);
+        advance(&fixture, row->after_us);
+        if (row->is_restored) {
+            GbViewStore_PutInstance(&fixture.store, &good, 13);
+        }
+        view = take_view(&fixture);
+        g_assert_cmpuint(view->list->count, ==, row->expected != NULL ? 1 : 0);
+        if (row->expected != NULL) {
+            g_assert_cmpstr(view->list->instances[0].service, ==,
+                            row->expected);
+        }
+        GbRoutingView_Unref(view);
+        GbViewStore_Finish(&fixture.store);
+    }
+}
+
 /* Fault pattern: older responses of the platform arrive after newer ones.
  * Guards against a view that returns to an older state. */
 static void
@@ -436,6 +489,8 @@
     g_test_add_func("/view-store/drain-after-crash", test_drain_after_crash);
     g_test_add_func("/view-store/entries-share-an-address",
                     test_entries_share_an_address);
+    g_test_add_func("/view-store/entry-gets-unknown-service",
+                    test_entry_gets_unknown_service);
     g_test_add_func("/view-store/out-of-order-updates",
                     test_out_of_order_updates);
     g_test_add_func("/view-store/delta", test_delta);
