Tell the balancer the owner when a lookup has found it

Cause: an agent delivers a packet of an unknown flow to its target and looks the owner up when the packet is returned. By then it no longer knew which balancer had sent the packet, and told the owner only with the next one. When the agent was taken away in the pause between the two, the balancer's cache named an address without a process, and every packet went there.

Fix: the agent remembers, for the latest 64 such packets, the balancer, and tells it when the lookup ends.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -84,6 +84,9 @@
     if (flow == NULL) {
         /* The target may have had the flow before this process started. If
          * not, it returns the packet. */
+        if (balancer_ipv4 != 0) {
+            GbFlowProbes_Add(&self->unclaimed, &packet->key, balancer_ipv4);
+        }
         GbFlowAgent_DeliverToTarget(self, packet);
         return;
     }
@@ -108,6 +111,7 @@
 receive_returned(struct GbFlowAgent *self, struct GbPacket *packet)
 {
     struct GbPacketFlow *flow;
+    uint32_t balancer_ipv4;
 
     GbCounters_Add(self->counters, GB_COUNTER_PACKETS_RETURNED, 1);
     if (GbPacket_IsSyn(packet)) {
@@ -119,15 +123,17 @@
         GbFlowLocation_ReportReturnedProbe(self, packet);
         return;
     }
+    balancer_ipv4 = GbFlowProbes_Take(&self->unclaimed, &packet->key);
     flow = GbFlowAgent_FindFlow(self, &packet->key);
     if (flow != NULL && flow->state == GB_PACKET_FLOW_REMOTE) {
-        GbFlowAdmission_ForwardToAgent(self, packet, flow->owner_ipv4, 0);
+        GbFlowAdmission_ForwardToAgent(self, packet, flow->owner_ipv4,
+                                       balancer_ipv4);
         return;
     }
     if (flow != NULL) {
         GbFlowLoad_RemoveFlow(self, flow);
     }
-    GbFlowLocation_StartLookup(self, packet, 0);
+    GbFlowLocation_StartLookup(self, packet, balancer_ipv4);
 }
 
 /* Returns true if the target replies to the SYN packet of a flow that has been
@@ -276,6 +282,7 @@
     GbUnlistedAgents_Init(&self->unlisted);
     GbFlowLookups_Init(&self->lookups);
     GbFlowProbes_Init(&self->probes);
+    GbFlowProbes_Init(&self->unclaimed);
     GbTargetMonitor_Init(&self->target_monitor);
     GbFlowOutcomes_Init(&self->outcomes);
     GbFlowQueue_Init(&self->queue);
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -58,7 +58,10 @@
     struct GbFlowPool pool;
     struct GbUnlistedAgents unlisted;
     struct GbFlowLookups lookups;
+    /* Packets delivered to the own target without a record of their flow: for
+     * other agents, and for balancers. */
     struct GbFlowProbes probes;
+    struct GbFlowProbes unclaimed;
     struct GbTargetMonitor target_monitor;
     struct GbFlowOutcomes outcomes;
     struct GbFlowQueue queue;
--- a/src/coordination/flows/flow_probes.h
+++ b/src/coordination/flows/flow_probes.h
@@ -5,15 +5,15 @@
 
 #define GB_FLOW_PROBES_MAX 64
 
-/* Packet that was delivered to the own target on behalf of another agent. */
+/* Packet that was delivered to the own target, which may not have its flow. */
 struct GbFlowProbe {
     struct GbFlowKey key;
-    /* Agent that wants to know whether the target has the flow. */
+    /* Process that is told who has the flow. */
     uint32_t from_ipv4;
 };
 
-/* Latest probes without a result. A new one replaces the oldest: its sender
- * looks the flow up again with the next packet of the client. */
+/* Latest probes without a result. A new one replaces the oldest: the flow is
+ * looked up again with the next packet of the client. */
 struct GbFlowProbes {
     struct GbFlowProbe items[GB_FLOW_PROBES_MAX];
     uint32_t next;
--- a/tests/test_flow_location.c
+++ b/tests/test_flow_location.c
@@ -306,6 +306,31 @@
     }
 }
 
+/* Fault pattern: a flow moves to another balancer and is located, and the
+ * agent that located it is taken away during the flow's next pause. Guards
+ * against a balancer that goes on sending to that agent because it was never
+ * told the owner. */
+static void
+test_balancer_is_told_the_owner(void)
+{
+    struct GbFlowAgentFixture fixture;
+    struct GbFlowNotice owner = make_notice(GB_FLOW_NOTICE_OWNER, 100);
+    const struct GbFlowAction *action;
+
+    GbFlowAgentFixture_Init(&fixture, 3);
+    GbFlowAgentFixture_ReceiveFromBalancer(&fixture, 100, GB_PACKET_ACK, 7,
+                                           200);
+    GbFlowAgentFixture_ReceiveFromTarget(
+        &fixture, 100, GB_PACKET_ACK | GB_PACKET_RETURNED, 1, 200);
+    owner.owner_ipv4 = GB_FLOW_FIXTURE_AGENT_IPV4 + 2;
+    GbFlowAgent_ReceiveNotice(&fixture.agent, owner.owner_ipv4, &owner);
+    action = GbFlowRecorder_Last(&fixture.recorder, GB_FLOW_ACTION_NOTIFY);
+    g_assert_cmpint(action->notice.kind, ==, GB_FLOW_NOTICE_OWNER);
+    g_assert_cmpuint(action->notice.owner_ipv4, ==, owner.owner_ipv4);
+    g_assert_cmpuint(action->to_ipv4, ==, GB_FLOW_FIXTURE_BALANCER_IPV4);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
 struct ReplacedOwnerCase {
     const char *name;
     /* Service of the owner's address in the new list. */
@@ -528,6 +553,8 @@
     g_test_add_func("/flow-location/repeated-replies", test_repeated_replies);
     g_test_add_func("/flow-location/target-joins-and-flows-move",
                     test_target_joins_and_flows_move);
+    g_test_add_func("/flow-location/balancer-is-told-the-owner",
+                    test_balancer_is_told_the_owner);
     g_test_add_func("/flow-location/address-of-owner-is-reused",
                     test_address_of_owner_is_reused);
     g_test_add_func("/flow-location/probe-of-own-target",
