--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -80,6 +80,8 @@
     struct event *readable;
     /* Number of the start; part of the key of the entry in the store. */
     uint32_t incarnation;
+    /* Another writer has overwritten the entry in the store. */
+    bool is_entry_spoiled;
     /* Crashed incarnation whose entry is still in the store; 0 if none. */
     uint32_t crashed_incarnation;
     uint64_t sequence_number;
--- a/tests/soak/soak_targets.c
+++ b/tests/soak/soak_targets.c
@@ -307,6 +307,7 @@
 {
     char key[KEY_BYTES];
 
+    self->is_entry_spoiled = false;
     format_entry_key(self, self->incarnation, key);
     put_entry(self, key, state, NULL);
 }
@@ -425,6 +426,7 @@
 {
     char key[KEY_BYTES];
 
+    self->is_entry_spoiled = true;
     format_entry_key(self, self->incarnation, key);
     put_entry(self, key, "ready", change);
 }
