--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -310,6 +311,8 @@
                         "invariant was violated.\n");
         return 2;
     }
+    /* Processes under test close connections while responses are written. */
+    signal(SIGPIPE, SIG_IGN);
     seed = (uint32_t)strtoul(argv[1], NULL, DECIMAL_BASE);
     violations = run_soak(
         seed, strtoll(argv[2], NULL, DECIMAL_BASE) * MS_PER_SECOND, argv[3]);
