--- a/review/standin-2/case_names.c
+++ b/review/standin-2/case_names.c
@@ -77,8 +77,12 @@
     }
     for (int i = 0; i < SERVICES; i++) {
         routes[i] = (struct ManifestRoute){(uint16_t)(FIRST_ROUTE_PORT + i),
-                                           state.services[i], "non_idempotent",
-                                           2000, 200};
+                                           state.services[i],
+                                           NULL,
+                                           0,
+                                           "non_idempotent",
+                                           2000,
+                                           200};
     }
     Host_SetRunListener(on_run, NULL);
     Manifest_Put(7, routes, SERVICES);
--- a/review/standin-2/case_no_routes.c
+++ b/review/standin-2/case_no_routes.c
@@ -44,8 +44,8 @@
 static struct Case state;
 
 static const struct ManifestRoute routes[ROUTE_PORTS] = {
-    {FIRST_ROUTE_PORT, SERVICE, "idempotent", 2000, 200},
-    {FIRST_ROUTE_PORT + 1, SERVICE, "idempotent", 2000, 200},
+    {FIRST_ROUTE_PORT, SERVICE, NULL, 0, "idempotent", 2000, 200},
+    {FIRST_ROUTE_PORT + 1, SERVICE, NULL, 0, "idempotent", 2000, 200},
 };
 
 /* Returns true if the last version has dropped the route. */
--- a/review/standin-2/case_rolling.c
+++ b/review/standin-2/case_rolling.c
@@ -69,8 +69,8 @@
 start_fleet(void)
 {
     static const char *const zones[] = {"zone-a", "zone-b"};
-    static const struct ManifestRoute route = {ROUTE_PORT, SERVICE,
-                                               "non_idempotent", 5000, 500};
+    static const struct ManifestRoute route = {
+        ROUTE_PORT, SERVICE, NULL, 0, "non_idempotent", 5000, 500};
 
     Store_Open();
     Fleet_Init(&state.fleet);
--- a/review/standin-2/client.c
+++ b/review/standin-2/client.c
@@ -88,7 +88,7 @@
 send_plain(const struct Client *client, struct ClientFlow *flow, uint8_t flags)
 {
     struct Packet packet = {.flags = flags,
-                            .sequence = flow->sequence + 1,
+                            .sequence = flow->sequence + 1 + flow->sent_bytes,
                             .acknowledgement = flow->acknowledgement};
 
     send_packet(client, flow, &packet);
@@ -98,7 +98,7 @@
 send_request(const struct Client *client, struct ClientFlow *flow)
 {
     struct Packet packet = {.flags = PACKET_ACK,
-                            .sequence = flow->sequence + 1,
+                            .sequence = flow->sequence + 1 + flow->sent_bytes,
                             .acknowledgement = flow->acknowledgement};
 
     packet.size = (uint16_t)snprintf(
@@ -107,9 +107,23 @@
         "X-Work-Ms: %d\r\nConnection: %s\r\n\r\n",
         flow->request_id, flow->work_ms,
         flow->keep_ms > 0 ? "keep-alive" : "close");
+    flow->request_bytes = packet.size;
     send_packet(client, flow, &packet);
 }
 
+static void
+send_next_request(const struct Client *client, struct ClientFlow *flow)
+{
+    flow->requests++;
+    snprintf(flow->request_id, sizeof(flow->request_id), "%s-%u.%d",
+             strrchr(client->ip, '.') + 1, flow->port, flow->requests);
+    flow->is_answered = false;
+    flow->is_request_acknowledged = false;
+    flow->retransmit_delay_ms = RETRANSMIT_MIN_MS;
+    flow->retransmit_ms = Lab_NowMs() + RETRANSMIT_MIN_MS;
+    send_request(client, flow);
+}
+
 static void
 open_flow(const struct Client *client, struct ClientFlow *flow,
           const struct Packet *packet)
@@ -126,16 +140,23 @@
 receive_response(const struct Client *client, struct ClientFlow *flow,
                  const struct Packet *packet)
 {
-    flow->acknowledgement = packet->sequence + packet->size + 1;
+    if (flow->is_answered) {
+        send_plain(client, flow, PACKET_ACK);
+        return;
+    }
+    flow->acknowledgement = packet->sequence + packet->size;
+    flow->sent_bytes += flow->request_bytes;
     if (strstr(packet->data, flow->request_id) == NULL) {
         Lab_Record("client %s: %s gets an answer of another request",
                    client->ip, flow->request_id);
     }
     flow->is_answered = true;
     if (flow->keep_ms > 0) {
+        flow->next_request_ms = Lab_NowMs() + flow->pause_ms;
         send_plain(client, flow, PACKET_ACK);
         return;
     }
+    flow->acknowledgement++;
     flow->state = CLIENT_ANSWERED;
     send_plain(client, flow, PACKET_ACK | PACKET_FIN);
 }
@@ -235,7 +256,13 @@
         send_plain(client, flow, PACKET_ACK | PACKET_FIN);
         return;
     }
-    if (!flow->is_answered &&
+    if (flow->is_answered) {
+        if (flow->pause_ms > 0 && Lab_NowMs() >= flow->next_request_ms) {
+            send_next_request(client, flow);
+        }
+        return;
+    }
+    if (flow->requests == 0 &&
         Lab_NowMs() - flow->started_ms >= flow->deadline_ms) {
         flow->state = CLIENT_GAVE_UP;
         Lab_Record("client %s: %s gives up", client->ip, flow->request_id);
--- a/review/standin-2/client.h
+++ b/review/standin-2/client.h
@@ -31,6 +31,14 @@
     /* How long the flow stays open after it has opened, for more requests; 0
      * if it ends with the response. */
     int64_t keep_ms;
+    /* Pause between a response and the next request on such a flow; 0 for a
+     * single request. */
+    int64_t pause_ms;
+    int64_t next_request_ms;
+    int requests;
+    /* Size of the last request, and the bytes of those before it. */
+    uint32_t request_bytes;
+    uint32_t sent_bytes;
     bool is_answered;
     int64_t deadline_ms;
     enum ClientFlowState state;
--- a/review/standin-2/host.c
+++ b/review/standin-2/host.c
@@ -102,7 +102,7 @@
     uint8_t bytes[PACKET_BYTES];
     bool is_syn = (flags & PACKET_SYN) != 0;
 
-    packet.sequence = flow->own_sequence + (is_syn ? 0 : 1);
+    packet.sequence = flow->own_sequence + (is_syn ? 0 : 1 + flow->sent_bytes);
     packet.acknowledgement = flow->next_sequence;
     packet.source = flow->service;
     packet.source_port = flow->service_port;
@@ -114,15 +114,15 @@
 }
 
 static void
-send_response(const struct Host *host, const struct HostFlow *flow)
+send_response(const struct Host *host, struct HostFlow *flow)
 {
     char data[256];
 
-    snprintf(data, sizeof(data),
-             "HTTP/1.1 200 OK\r\nX-Response-Signature: %s/%s\r\n"
-             "Content-Length: 4\r\nConnection: %s\r\n\r\ndone",
-             host->id, flow->request_id,
-             flow->is_kept ? "keep-alive" : "close");
+    flow->response_bytes = (uint32_t)snprintf(
+        data, sizeof(data),
+        "HTTP/1.1 200 OK\r\nX-Response-Signature: %s/%s\r\n"
+        "Content-Length: 4\r\nConnection: %s\r\n\r\ndone",
+        host->id, flow->request_id, flow->is_kept ? "keep-alive" : "close");
     send_packet(host, flow,
                 flow->is_kept ? PACKET_ACK : PACKET_ACK | PACKET_FIN, data);
 }
@@ -187,6 +187,12 @@
         send_packet(host, flow, PACKET_ACK, "");
         return;
     }
+    if (flow->is_answered) {
+        flow->is_answered = false;
+        flow->sent_bytes += flow->response_bytes;
+    }
+    flow->retransmit_ms = 0;
+    flow->retransmissions = 0;
     flow->next_sequence += packet->size;
     sscanf(id + strlen("X-Request-Id: "), "%31[^\r]", flow->request_id);
     flow->work_ms = strtoll(work + strlen("X-Work-Ms: "), NULL, 10);
@@ -212,8 +218,8 @@
                                             : Lab_NowMs() + host->syn_delay_ms;
         return;
     }
-    if (flow == NULL ||
-        packet->acknowledgement - flow->own_sequence - 1 > PACKET_BYTES) {
+    if (flow == NULL || packet->acknowledgement - flow->own_sequence - 1 >
+                            flow->sent_bytes + PACKET_BYTES) {
         Packet_MarkBounced(bytes);
         send_outbound(host, bytes, size);
         return;
@@ -231,12 +237,12 @@
         flow->retransmit_ms = 0;
         send_packet(host, flow, PACKET_ACK, "");
     }
-    else if (flow->is_answered) {
-        flow->retransmit_ms = 0;
-    }
     else if (packet->size > 0) {
         receive_request(host, flow, packet);
     }
+    else if (flow->is_answered) {
+        flow->retransmit_ms = 0;
+    }
 }
 
 static void
--- a/review/standin-2/host.h
+++ b/review/standin-2/host.h
@@ -22,6 +22,9 @@
     uint16_t service_port;
     uint32_t own_sequence;
     uint32_t next_sequence;
+    /* Bytes of the responses before the last one, and of the last one. */
+    uint32_t sent_bytes;
+    uint32_t response_bytes;
     char request_id[32];
     int64_t work_ms;
     bool is_kept;
--- a/review/standin-2/manifest.c
+++ b/review/standin-2/manifest.c
@@ -8,6 +8,22 @@
 
 #define VALUE_BYTES 8192
 
+static int
+append_destination(char *value, int used, const struct ManifestRoute *route)
+{
+    size_t left = VALUE_BYTES - (size_t)used;
+
+    if (route->second == NULL) {
+        return used + snprintf(value + used, left, "\"service\":\"%s\",",
+                               route->service);
+    }
+    return used + snprintf(value + used, left,
+                           "\"backends\":[{\"service\":\"%s\",\"weight\":%d},"
+                           "{\"service\":\"%s\",\"weight\":%d}],",
+                           route->service, 100 - route->second_weight,
+                           route->second, route->second_weight);
+}
+
 static int
 append_services(char *value, int used, const struct ManifestRoute *routes,
                 int count)
@@ -34,11 +50,12 @@
                          "%s{\"name\":\"r-%d\",\"host\":\"" CLIENT_SERVICE_IP
                          "\",\"prefix\":\"/%u/\",\"kind\":\"%s\","
                          "\"timeoutMs\":%d,\"latencyGoalMs\":%d,"
-                         "\"priority\":1,\"service\":\"%s\","
-                         "\"maxAttempts\":2}",
+                         "\"priority\":1,",
                          i > 0 ? "," : "", i, routes[i].port, routes[i].kind,
-                         routes[i].timeout_ms, routes[i].latency_goal_ms,
-                         routes[i].service);
+                         routes[i].timeout_ms, routes[i].latency_goal_ms);
+        used = append_destination(value, used, &routes[i]);
+        used += snprintf(value + used, sizeof(value) - (size_t)used,
+                         "\"maxAttempts\":2}");
     }
     used += snprintf(value + used, sizeof(value) - (size_t)used,
                      "],\"services\":[");
--- a/review/standin-2/manifest.h
+++ b/review/standin-2/manifest.h
@@ -8,6 +8,9 @@
 struct ManifestRoute {
     uint16_t port;
     const char *service;
+    /* Second backend and its weight of 100; NULL for a single service. */
+    const char *second;
+    int second_weight;
     const char *kind;
     int timeout_ms;
     int latency_goal_ms;
