Identify services by 64 bits, and tag packets by service and flow

Cause: GbRouteTable_ServiceId reduced the name to 24 bits, as many as the packet header has room for, and routes, targets, notices and packets were compared by that number alone.

Change: ids have 64 bits (SipHash-2-4 of the name). The header carries a tag of 24 bits, a hash of the id and of the flow's key, so that no two services have the same tags for all flows: the check of an agent whose address another service used before misses one of 16 million flows.

--- a/src/coordination/flows/agent_ranking.c
+++ b/src/coordination/flows/agent_ranking.c
@@ -92,7 +92,7 @@
 }
 
 const struct GbInstance *
-GbAgentRanking_Best(const struct GbAgentRanking *self, uint32_t service_id,
+GbAgentRanking_Best(const struct GbAgentRanking *self, uint64_t service_id,
                     const struct GbFlowKey *key)
 {
     const struct GbCandidates *candidates =
@@ -112,7 +112,7 @@
 
 const struct GbInstance *
 GbAgentRanking_BestOutside(const struct GbRoutingView *view,
-                           uint32_t service_id, const struct GbFlowKey *key,
+                           uint64_t service_id, const struct GbFlowKey *key,
                            const struct GbInstanceFilter *filter)
 {
     struct OutsideFilter outside = {{is_not_outside}, view, filter};
--- a/src/coordination/flows/agent_ranking.h
+++ b/src/coordination/flows/agent_ranking.h
@@ -26,7 +26,7 @@
  * are ranked only if the service has no others. Returns NULL if the service
  * has no agent. */
 const struct GbInstance *GbAgentRanking_Best(const struct GbAgentRanking *self,
-                                             uint32_t service_id,
+                                             uint64_t service_id,
                                              const struct GbFlowKey *key);
 
 /* Returns the highest-ranked agent of a service that is in no evacuated data
@@ -34,7 +34,7 @@
  * which have no failure detector. */
 const struct GbInstance *
 GbAgentRanking_BestOutside(const struct GbRoutingView *view,
-                           uint32_t service_id, const struct GbFlowKey *key,
+                           uint64_t service_id, const struct GbFlowKey *key,
                            const struct GbInstanceFilter *filter);
 
 #endif
--- a/src/coordination/flows/backend_choice.c
+++ b/src/coordination/flows/backend_choice.c
@@ -47,6 +47,7 @@
 };
 
 struct BackendLoad {
+    uint64_t service_id;
     /* Flows in flight and queued for each slot, smoothed. */
     double flows_per_slot;
     /* Slots of the agents that have reported, at least 1, and of those among
@@ -91,7 +92,7 @@
  * its agents are suspect. */
 static struct LoadSum
 sum_load(const struct GbBackendChoice *self,
-         const struct GbAgentRanking *ranking, uint32_t service_id)
+         const struct GbAgentRanking *ranking, uint64_t service_id)
 {
     const struct GbCandidates *candidates =
         GbRoutingView_Candidates(ranking->view, service_id);
@@ -133,16 +134,16 @@
 /* Returns the load of a service, brought up to date. */
 static const struct BackendLoad *
 update_load(struct GbBackendChoice *self, const struct GbAgentRanking *ranking,
-            uint32_t service_id)
+            uint64_t service_id)
 {
-    struct BackendLoad *load =
-        g_hash_table_lookup(self->loads, GUINT_TO_POINTER(service_id));
+    struct BackendLoad *load = g_hash_table_lookup(self->loads, &service_id);
     struct LoadSum sum;
 
     if (load == NULL) {
         load = g_new0(struct BackendLoad, 1);
+        load->service_id = service_id;
         load->updated_us = ranking->now_us - UPDATE_PERIOD_US;
-        g_hash_table_insert(self->loads, GUINT_TO_POINTER(service_id), load);
+        g_hash_table_insert(self->loads, &load->service_id, load);
     }
     if (ranking->now_us - load->updated_us < UPDATE_PERIOD_US) {
         return load;
@@ -193,7 +194,7 @@
 
 /* Returns the service of one backend, chosen in proportion to the weights; 0
  * if all are 0. */
-static uint32_t
+static uint64_t
 pick_service(const struct GbRoute *route,
              const uint32_t weights[GB_ROUTE_BACKENDS_MAX], uint64_t hash)
 {
@@ -217,7 +218,7 @@
 }
 
 static bool
-has_agents(const struct GbRoutingView *view, uint32_t service_id,
+has_agents(const struct GbRoutingView *view, uint64_t service_id,
            bool includes_evacuated)
 {
     const struct GbCandidates *candidates =
@@ -237,7 +238,7 @@
 
 /* As pick_service, by the weights of the route among the backends that have
  * agents. */
-static uint32_t
+static uint64_t
 pick_by_weight(const struct GbRoutingView *view, const struct GbRoute *route,
                const struct GbFlowKey *key, bool includes_evacuated)
 {
@@ -262,15 +263,18 @@
 static gboolean
 is_service_unlisted(gpointer key, gpointer value, gpointer context)
 {
-    (void)value;
-    return GbRoutingView_Candidates(context, GPOINTER_TO_UINT(key)) == NULL;
+    const struct BackendLoad *load = value;
+
+    (void)key;
+    return GbRoutingView_Candidates(context, load->service_id) == NULL;
 }
 
 void
 GbBackendChoice_Init(struct GbBackendChoice *self)
 {
     self->reports = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    self->loads = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    self->loads =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
 void
@@ -308,12 +312,12 @@
     report->reported_us = now_us;
 }
 
-uint32_t
+uint64_t
 GbBackendChoice_ByWeight(const struct GbRoutingView *view,
                          const struct GbRoute *route,
                          const struct GbFlowKey *key)
 {
-    uint32_t service_id = 0;
+    uint64_t service_id = 0;
 
     if (route->backend_count > 0) {
         service_id = pick_by_weight(view, route, key, false);
@@ -324,12 +328,12 @@
     return service_id != 0 ? service_id : route->service_id;
 }
 
-uint32_t
+uint64_t
 GbBackendChoice_ForOpenFlow(const struct GbRoutingView *view,
                             const struct GbRoute *route,
                             const struct GbFlowKey *key)
 {
-    uint32_t service_id = GbBackendChoice_ByWeight(view, route, key);
+    uint64_t service_id = GbBackendChoice_ByWeight(view, route, key);
 
     for (uint32_t i = 0; i < route->backend_count &&
                          GbRoutingView_Candidates(view, service_id) == NULL;
@@ -339,13 +343,13 @@
     return service_id;
 }
 
-uint32_t
+uint64_t
 GbBackendChoice_ForNewFlow(struct GbBackendChoice *self,
                            const struct GbAgentRanking *ranking,
                            const struct GbRoute *route,
                            const struct GbFlowKey *key, bool *is_overflow)
 {
-    uint32_t by_weight = GbBackendChoice_ByWeight(ranking->view, route, key);
+    uint64_t by_weight = GbBackendChoice_ByWeight(ranking->view, route, key);
     uint32_t spare[GB_ROUTE_BACKENDS_MAX] = {0};
     uint32_t spare_sum = 0;
     const struct BackendLoad *load;
--- a/src/coordination/flows/backend_choice.h
+++ b/src/coordination/flows/backend_choice.h
@@ -14,7 +14,7 @@
 struct GbBackendChoice {
     /* struct AgentReport by IPv4 address. */
     GHashTable *reports;
-    /* struct BackendLoad by service id. */
+    /* struct BackendLoad by service id, which is a part of it. */
     GHashTable *loads;
 };
 
@@ -36,20 +36,20 @@
  * rendezvous hashing over the backends that have agents. All processes with
  * the same view return the same one. Returns the service of the route if no
  * backend with a weight has agents. */
-uint32_t GbBackendChoice_ByWeight(const struct GbRoutingView *view,
+uint64_t GbBackendChoice_ByWeight(const struct GbRoutingView *view,
                                   const struct GbRoute *route,
                                   const struct GbFlowKey *key);
 
 /* As GbBackendChoice_ByWeight, for a packet of an open flow whose owner is not
  * known: any backend that has agents may be asked for it. */
-uint32_t GbBackendChoice_ForOpenFlow(const struct GbRoutingView *view,
+uint64_t GbBackendChoice_ForOpenFlow(const struct GbRoutingView *view,
                                      const struct GbRoute *route,
                                      const struct GbFlowKey *key);
 
 /* Returns the service of a new flow: the one of its weights, or another
  * backend with a weight and free slots if that one cannot serve the flow, in
  * which case *is_overflow is set. ranking holds the view and the time. */
-uint32_t GbBackendChoice_ForNewFlow(struct GbBackendChoice *self,
+uint64_t GbBackendChoice_ForNewFlow(struct GbBackendChoice *self,
                                     const struct GbAgentRanking *ranking,
                                     const struct GbRoute *route,
                                     const struct GbFlowKey *key,
--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -443,7 +443,8 @@
         return;
     }
     packet->hops++;
-    packet->service_id = GbFlowService_At(self, &packet->key, owner_ipv4);
+    GbPacket_SetService(packet,
+                        GbFlowService_At(self, &packet->key, owner_ipv4));
     self->port->klass->forward(self->port, packet, owner_ipv4);
     if (balancer_ipv4 != 0) {
         notice.service_id = self->config.service_id;
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -271,7 +271,7 @@
     uint32_t balancer_ipv4 = packet->hops == 0 ? from_ipv4 : 0;
     struct GbPacketFlow *flow;
 
-    if (packet->service_id != self->config.service_id) {
+    if (!GbPacket_IsForService(packet, self->config.service_id)) {
         GbCounters_Add(self->counters, GB_COUNTER_WRONG_SERVICE, 1);
         return;
     }
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -38,7 +38,7 @@
 
 struct GbFlowAgentConfig {
     uint32_t own_ipv4;
-    uint32_t service_id;
+    uint64_t service_id;
     char data_centre[GB_NAME_BYTES];
     /* Maximum number of flows in the flow table. */
     uint32_t flow_limit;
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -110,8 +110,9 @@
 
         if (lookup->agents[i].reply == GB_FLOW_LOOKUP_UNSURE) {
             GbCounters_Add(self->counters, GB_COUNTER_FLOW_PROBES_SENT, 1);
-            lookup->packet.service_id =
-                GbFlowService_At(self, &lookup->packet.key, ipv4);
+            GbPacket_SetService(
+                &lookup->packet,
+                GbFlowService_At(self, &lookup->packet.key, ipv4));
             self->port->klass->forward(self->port, &lookup->packet, ipv4);
         }
     }
--- a/src/coordination/flows/flow_pool.c
+++ b/src/coordination/flows/flow_pool.c
@@ -71,7 +71,7 @@
 
 void
 GbFlowPool_SetView(struct GbFlowPool *self, const struct GbRoutingView *view,
-                   uint32_t service_id, uint32_t own_ipv4,
+                   uint64_t service_id, uint32_t own_ipv4,
                    const char *data_centre, int64_t now_us)
 {
     const struct GbInstanceList *list = view->list;
--- a/src/coordination/flows/flow_pool.h
+++ b/src/coordination/flows/flow_pool.h
@@ -43,7 +43,7 @@
 /* Replaces the members by the agents of the service in the view, without the
  * one at own_ipv4. Members that are still listed keep their last report. */
 void GbFlowPool_SetView(struct GbFlowPool *self,
-                        const struct GbRoutingView *view, uint32_t service_id,
+                        const struct GbRoutingView *view, uint64_t service_id,
                         uint32_t own_ipv4, const char *data_centre,
                         int64_t now_us);
 
--- a/src/coordination/flows/flow_service.c
+++ b/src/coordination/flows/flow_service.c
@@ -15,7 +15,7 @@
 
 bool
 GbFlowService_MayOwn(const struct GbFlowAgent *self,
-                     const struct GbFlowKey *key, uint32_t service_id)
+                     const struct GbFlowKey *key, uint64_t service_id)
 {
     struct GbAddress address = {key->service_ipv4, key->service_port};
 
@@ -25,14 +25,14 @@
                                      GbClock_MonotonicUs(self->clock));
 }
 
-uint32_t
+uint64_t
 GbFlowService_At(const struct GbFlowAgent *self, const struct GbFlowKey *key,
                  uint32_t ipv4)
 {
     const struct GbInstance *instance =
         self->view != NULL ? GbRoutingView_FindIpv4(self->view, ipv4) : NULL;
     const struct GbPacketFlow *flow;
-    uint32_t former_id;
+    uint64_t former_id;
 
     if (instance != NULL) {
         return instance->service_id;
--- a/src/coordination/flows/flow_service.h
+++ b/src/coordination/flows/flow_service.h
@@ -6,13 +6,13 @@
 /* Returns true if agents of a service may own a flow: it is the own service,
  * or a backend of the flow's route now or within the last 60 s. */
 bool GbFlowService_MayOwn(const struct GbFlowAgent *self,
-                          const struct GbFlowKey *key, uint32_t service_id);
+                          const struct GbFlowKey *key, uint64_t service_id);
 
 /* Returns the service of the agent at an address, which packets and notices to
  * it must carry: the one in the list, else the one recorded with the flow of
  * this key, else the own one if it has reported its load, else the one that it
  * had in an earlier list, else the own one. */
-uint32_t GbFlowService_At(const struct GbFlowAgent *self,
+uint64_t GbFlowService_At(const struct GbFlowAgent *self,
                           const struct GbFlowKey *key, uint32_t ipv4);
 
 #endif
--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -55,7 +55,7 @@
 /* Returns the service of a flow at a cached agent; 0 if it is not a backend of
  * the route, or if the flow should be placed again. A retransmitted SYN packet
  * goes where its first copy went, whatever the load is now. */
-static uint32_t
+static uint64_t
 find_cached_service(const struct GbSteering *self,
                     const struct GbPacket *packet, uint32_t agent_ipv4,
                     int64_t now_us)
@@ -64,7 +64,7 @@
                                 packet->key.service_port};
     const struct GbInstance *instance =
         GbRoutingView_FindIpv4(self->view, agent_ipv4);
-    uint32_t service_id =
+    uint64_t service_id =
         instance != NULL
             ? instance->service_id
             : GbFormerAgents_ServiceAt(&self->former_agents, agent_ipv4);
@@ -92,13 +92,13 @@
 /* Returns the service of a packet. Without a cache entry, a retransmitted SYN
  * packet goes to the backend on which all balancers agree, because its first
  * copy may have reached another balancer. */
-static uint32_t
+static uint64_t
 choose_service(struct GbSteering *self, const struct GbRoute *route,
                const struct GbPacket *packet, uint32_t cached_ipv4,
                int64_t now_us)
 {
     const struct GbAgentRanking ranking = make_ranking(self, now_us);
-    uint32_t service_id =
+    uint64_t service_id =
         find_cached_service(self, packet, cached_ipv4, now_us);
     bool is_overflow;
 
@@ -123,11 +123,11 @@
  * unavailable. Returns 0 if the service has no agent. */
 static uint32_t
 choose_agent(struct GbSteering *self, const struct GbPacket *packet,
-             int64_t now_us)
+             uint64_t service_id, int64_t now_us)
 {
     const struct GbAgentRanking ranking = make_ranking(self, now_us);
     const struct GbInstance *instance =
-        GbAgentRanking_Best(&ranking, packet->service_id, &packet->key);
+        GbAgentRanking_Best(&ranking, service_id, &packet->key);
 
     if (instance == NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_PACKETS_NO_AGENT, 1);
@@ -173,7 +173,7 @@
  * the list may be back soon. */
 static bool
 has_other_service(const struct GbSteering *self, uint32_t agent_ipv4,
-                  uint32_t service_id)
+                  uint64_t service_id)
 {
     const struct GbInstance *instance =
         GbRoutingView_FindIpv4(self->view, agent_ipv4);
@@ -268,6 +268,7 @@
     int64_t now_us = GbClock_MonotonicUs(self->clock);
     const struct GbRoute *route;
     uint32_t agent_ipv4;
+    uint64_t service_id;
 
     if (self->view == NULL || !is_from_client(packet)) {
         GbCounters_Add(self->counters, GB_COUNTER_DATAGRAMS_UNEXPECTED, 1);
@@ -282,13 +283,12 @@
     packet->syn_age_ms = 0;
     packet->request_age_ms = 0;
     agent_ipv4 = GbFlowCache_Find(&self->cache, &packet->key, now_us);
-    packet->service_id =
-        choose_service(self, route, packet, agent_ipv4, now_us);
-    if (agent_ipv4 == 0 ||
-        has_other_service(self, agent_ipv4, packet->service_id) ||
+    service_id = choose_service(self, route, packet, agent_ipv4, now_us);
+    GbPacket_SetService(packet, service_id);
+    if (agent_ipv4 == 0 || has_other_service(self, agent_ipv4, service_id) ||
         (GbPacket_IsSyn(packet) &&
          is_agent_unavailable(self, agent_ipv4, now_us))) {
-        agent_ipv4 = choose_agent(self, packet, now_us);
+        agent_ipv4 = choose_agent(self, packet, service_id, now_us);
     }
     if (agent_ipv4 != 0) {
         GbCounters_Add(self->counters, GB_COUNTER_PACKETS_FORWARDED, 1);
--- a/src/protocol/flow_notice_codec.c
+++ b/src/protocol/flow_notice_codec.c
@@ -83,8 +83,7 @@
     GbMsgpackReader_Init(&reader, data, size_bytes);
     notice->kind = (enum GbFlowNoticeKind)GbMsgpackReader_ReadUint(
         &reader, GB_FLOW_NOTICE_KIND_END - 1);
-    notice->service_id =
-        (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
+    notice->service_id = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
     switch (notice->kind) {
     case GB_FLOW_NOTICE_LOAD:
         GbLoadCodec_Decode(&reader, &notice->load);
--- a/src/protocol/route_codec.c
+++ b/src/protocol/route_codec.c
@@ -28,8 +28,7 @@
     struct GbMsgpackReader reader;
 
     GbMsgpackReader_Init(&reader, data, size_bytes);
-    backend->service_id =
-        (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
+    backend->service_id = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
     backend->weight =
         (uint32_t)GbMsgpackReader_ReadUint(&reader, WEIGHT_SUM_MAX);
     return GbMsgpackReader_FinishArray(&reader, used_bytes);
@@ -91,8 +90,7 @@
         (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
     route->address.port =
         (uint16_t)GbMsgpackReader_ReadUint(&reader, UINT16_MAX);
-    route->service_id =
-        (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
+    route->service_id = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
     route->kind =
         (enum GbRouteKind)GbMsgpackReader_ReadUint(&reader, GB_ROUTE_DOWNLOAD);
     route->timeout_ms =
--- a/src/protocol/view_delta.c
+++ b/src/protocol/view_delta.c
@@ -62,8 +62,9 @@
 {
     const struct GbRouteTable *routes = store->routes;
 
-    content->format = CLAMP(request->format, GB_VIEW_DELTA_FORMAT_BASIC,
-                            GB_VIEW_DELTA_FORMAT);
+    content->format = request->format >= GB_VIEW_DELTA_FORMAT
+                          ? GB_VIEW_DELTA_FORMAT
+                          : GB_VIEW_DELTA_FORMAT_BASIC;
     content->since_revision = request->since.revision;
     content->is_full =
         !GbViewStore_HasChangesSince(store, request->since.revision);
--- a/src/protocol/view_delta.h
+++ b/src/protocol/view_delta.h
@@ -7,10 +7,13 @@
 #include "protocol/status.h"
 
 /* Formats of the delta. A process that pulls names the latest one that it
- * understands. The basic one is also meant by 0. It has neither evacuations
- * nor settings of services, weighted backends and start times of targets. */
+ * understands. The basic one is also meant by 0 and 2. It has neither
+ * evacuations nor settings of services, weighted backends and start times of
+ * targets. Format 2 had services of 24 bits, which cannot be told from others
+ * of the same number; a process that sends or understands no later one does
+ * not interoperate. */
 #define GB_VIEW_DELTA_FORMAT_BASIC 1
-#define GB_VIEW_DELTA_FORMAT 2
+#define GB_VIEW_DELTA_FORMAT 3
 
 /* What a process that pulls asks for. */
 struct GbViewDeltaRequest {
--- a/src/protocol/view_record_codec.c
+++ b/src/protocol/view_record_codec.c
@@ -162,8 +162,7 @@
 
     memset(settings, 0, sizeof(*settings));
     GbMsgpackReader_Init(&reader, data, size_bytes);
-    settings->service_id =
-        (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
+    settings->service_id = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
     settings->warmup_ms =
         (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
     settings->warmup_openings_per_1000_s =
--- a/src/state/flow_notice.h
+++ b/src/state/flow_notice.h
@@ -29,7 +29,7 @@
  * by its address. */
 struct GbFlowNotice {
     enum GbFlowNoticeKind kind;
-    uint32_t service_id;
+    uint64_t service_id;
     /* All kinds but LOAD and VIEW_VERSION. */
     struct GbFlowKey key;
     /* OWNER only: IPv4 address of the agent. */
--- a/src/state/former_agents.c
+++ b/src/state/former_agents.c
@@ -33,7 +33,7 @@
     }
 }
 
-uint32_t
+uint64_t
 GbFormerAgents_ServiceAt(const struct GbFormerAgents *self, uint32_t ipv4)
 {
     for (uint32_t i = 1; i <= GB_FORMER_AGENTS_MAX; i++) {
--- a/src/state/former_agents.h
+++ b/src/state/former_agents.h
@@ -9,7 +9,7 @@
 struct GbFormerAgent {
     /* 0 in an unused entry. */
     uint32_t ipv4;
-    uint32_t service_id;
+    uint64_t service_id;
 };
 
 /* Services of agents that are no longer in the instance list. An agent whose
@@ -30,7 +30,7 @@
 
 /* Returns the service that the agent at an address had last; 0 if it is not
  * known. */
-uint32_t GbFormerAgents_ServiceAt(const struct GbFormerAgents *self,
+uint64_t GbFormerAgents_ServiceAt(const struct GbFormerAgents *self,
                                   uint32_t ipv4);
 
 #endif
--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -19,7 +19,7 @@
     char service[GB_NAME_BYTES];
     /* GbRouteTable_ServiceId of that name; only set in lists for packet
      * forwarding. */
-    uint32_t service_id;
+    uint64_t service_id;
     char data_centre[GB_NAME_BYTES];
     struct GbAddress address;
     uint32_t weight;
--- a/src/state/packet.c
+++ b/src/state/packet.c
@@ -6,6 +6,7 @@
 #include "state/xxhash_inline.h"
 
 #define KEY_BYTES 12
+#define SERVICE_TAG_MASK 0xffffffU
 
 static uint8_t *
 append_little_endian(uint8_t *at, uint32_t value, uint32_t size_bytes)
@@ -16,6 +17,26 @@
     return at;
 }
 
+static uint64_t
+hash_key(const struct GbFlowKey *self, uint64_t seed)
+{
+    /* Processes compare these hashes, so the bytes have a fixed order. */
+    uint8_t bytes[KEY_BYTES];
+    uint8_t *at = bytes;
+
+    at = append_little_endian(at, self->client_ipv4, sizeof(uint32_t));
+    at = append_little_endian(at, self->service_ipv4, sizeof(uint32_t));
+    at = append_little_endian(at, self->client_port, sizeof(uint16_t));
+    append_little_endian(at, self->service_port, sizeof(uint16_t));
+    return XXH64(bytes, sizeof(bytes), seed);
+}
+
+static uint32_t
+service_tag(const struct GbFlowKey *key, uint64_t service_id)
+{
+    return (uint32_t)hash_key(key, service_id) & SERVICE_TAG_MASK;
+}
+
 bool
 GbFlowKey_Equal(const struct GbFlowKey *a, const struct GbFlowKey *b)
 {
@@ -28,15 +49,7 @@
 uint64_t
 GbFlowKey_Hash(const struct GbFlowKey *self)
 {
-    /* Processes compare these hashes, so the bytes have a fixed order. */
-    uint8_t bytes[KEY_BYTES];
-    uint8_t *at = bytes;
-
-    at = append_little_endian(at, self->client_ipv4, sizeof(uint32_t));
-    at = append_little_endian(at, self->service_ipv4, sizeof(uint32_t));
-    at = append_little_endian(at, self->client_port, sizeof(uint16_t));
-    append_little_endian(at, self->service_port, sizeof(uint16_t));
-    return XXH64(bytes, sizeof(bytes), 0);
+    return hash_key(self, 0);
 }
 
 uint64_t
@@ -63,6 +76,18 @@
     return buffer;
 }
 
+void
+GbPacket_SetService(struct GbPacket *self, uint64_t service_id)
+{
+    self->service_tag = service_tag(&self->key, service_id);
+}
+
+bool
+GbPacket_IsForService(const struct GbPacket *self, uint64_t service_id)
+{
+    return self->service_tag == service_tag(&self->key, service_id);
+}
+
 bool
 GbPacket_IsSyn(const struct GbPacket *self)
 {
--- a/src/state/packet.h
+++ b/src/state/packet.h
@@ -40,8 +40,8 @@
      * packet. */
     uint16_t syn_age_ms;
     uint16_t request_age_ms;
-    /* Service chosen by the balancer; 0 before that. */
-    uint32_t service_id;
+    /* Set by GbPacket_SetService; 0 before that. */
+    uint32_t service_tag;
     uint32_t sequence;
     uint32_t acknowledgement;
     uint16_t data_bytes;
@@ -62,6 +62,16 @@
 const char *GbFlowKey_Format(const struct GbFlowKey *self,
                              char buffer[GB_FLOW_KEY_TEXT_BYTES]);
 
+/* Marks a packet for the agents of a service with a tag of 24 bits, which the
+ * header has room for. */
+void GbPacket_SetService(struct GbPacket *self, uint64_t service_id);
+
+/* Returns true if a packet was marked for the service. The tag also depends on
+ * the key of the flow: no two services have the same tags for all flows, and a
+ * packet that reaches an agent of a wrong service passes for it in one of 16
+ * million flows. */
+bool GbPacket_IsForService(const struct GbPacket *self, uint64_t service_id);
+
 /* Returns true for a SYN packet without ACK, which opens a flow. */
 bool GbPacket_IsSyn(const struct GbPacket *self);
 
--- a/src/state/packet_flow_table.c
+++ b/src/state/packet_flow_table.c
@@ -21,7 +21,7 @@
 
 void
 GbPacketFlow_SetOwner(struct GbPacketFlow *self, uint32_t owner_ipv4,
-                      uint32_t owner_service_id)
+                      uint64_t owner_service_id)
 {
     self->state = GB_PACKET_FLOW_REMOTE;
     self->owner_ipv4 = owner_ipv4;
--- a/src/state/packet_flow_table.h
+++ b/src/state/packet_flow_table.h
@@ -21,7 +21,7 @@
     /* Agent that holds the flow; REMOTE only. */
     uint32_t owner_ipv4;
     /* Service of that agent when it was recorded; REMOTE only. */
-    uint32_t owner_service_id;
+    uint64_t owner_service_id;
     /* Queries to an owner that is not listed, without a reply so far, and the
      * time of the first of them; REMOTE only. */
     uint32_t owner_query_count;
@@ -68,7 +68,7 @@
 
 /* Records that another agent holds the flow. */
 void GbPacketFlow_SetOwner(struct GbPacketFlow *self, uint32_t owner_ipv4,
-                           uint32_t owner_service_id);
+                           uint64_t owner_service_id);
 
 /* Flows of an agent, indexed by key and ordered by last use. */
 struct GbPacketFlowTable {
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -1,11 +1,13 @@
 #include "state/route_table.h"
 
 #include <glib.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
-#define SERVICE_ID_MASK 0xffffffU
+/* All processes use the same key, because they compare the ids. */
+static const uint8_t service_id_key[crypto_shorthash_siphash24_KEYBYTES] =
+    "service id";
 
 static int
 compare_address(const void *a, const void *b)
@@ -22,17 +24,23 @@
 static int
 compare_service_id(const void *a, const void *b)
 {
-    uint32_t x = ((const struct GbServiceSettings *)a)->service_id;
-    uint32_t y = ((const struct GbServiceSettings *)b)->service_id;
+    uint64_t x = ((const struct GbServiceSettings *)a)->service_id;
+    uint64_t y = ((const struct GbServiceSettings *)b)->service_id;
 
     return (x > y) - (x < y);
 }
 
-uint32_t
+uint64_t
 GbRouteTable_ServiceId(const char *name)
 {
-    uint32_t id = XXH32(name, strlen(name), 0) & SERVICE_ID_MASK;
+    uint8_t hash[crypto_shorthash_siphash24_BYTES];
+    uint64_t id = 0;
 
+    crypto_shorthash_siphash24(hash, (const uint8_t *)name, strlen(name),
+                               service_id_key);
+    for (size_t i = 0; i < sizeof(hash); i++) {
+        id |= (uint64_t)hash[i] << (8 * i);
+    }
     return id != 0 ? id : 1;
 }
 
@@ -69,7 +77,7 @@
 }
 
 const struct GbServiceSettings *
-GbRouteTable_FindService(const struct GbRouteTable *self, uint32_t service_id)
+GbRouteTable_FindService(const struct GbRouteTable *self, uint64_t service_id)
 {
     struct GbServiceSettings key = {.service_id = service_id};
 
@@ -99,7 +107,7 @@
 }
 
 bool
-GbRoute_HasBackend(const struct GbRoute *self, uint32_t service_id)
+GbRoute_HasBackend(const struct GbRoute *self, uint64_t service_id)
 {
     for (uint32_t i = 0; i < self->backend_count; i++) {
         if (self->backends[i].service_id == service_id) {
@@ -110,7 +118,7 @@
 }
 
 bool
-GbRouteTable_HasService(const struct GbRouteTable *self, uint32_t service_id)
+GbRouteTable_HasService(const struct GbRouteTable *self, uint64_t service_id)
 {
     for (uint32_t i = 0; i < self->count; i++) {
         if (GbRoute_HasBackend(&self->routes[i], service_id)) {
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -20,7 +20,7 @@
 
 /* Service that gets a share of the new flows of a route. */
 struct GbRouteBackend {
-    uint32_t service_id;
+    uint64_t service_id;
     /* 0: no new flows. */
     uint32_t weight;
 };
@@ -31,7 +31,7 @@
     struct GbAddress address;
     /* Service of all new flows, if backend_count is 0; else the backend of the
      * highest weight. */
-    uint32_t service_id;
+    uint64_t service_id;
     struct GbRouteBackend backends[GB_ROUTE_BACKENDS_MAX];
     uint32_t backend_count;
     enum GbRouteKind kind;
@@ -45,7 +45,7 @@
 
 /* Settings of one service in the configuration. */
 struct GbServiceSettings {
-    uint32_t service_id;
+    uint64_t service_id;
     /* Time for which a target warms up after its start. */
     uint32_t warmup_ms;
     /* Openings that a target bears in 1,000 s while it warms up; 0: no
@@ -66,8 +66,10 @@
     uint32_t service_count;
 };
 
-/* Returns the id of a service with this name: 24 bits, never 0. */
-uint32_t GbRouteTable_ServiceId(const char *name);
+/* Returns the id of a service with this name, never 0: SipHash-2-4 of the
+ * name. 64 bits, so that the names of a configuration do not share an id: with
+ * 24 bits, 980 services do so in one of 35 configurations. */
+uint64_t GbRouteTable_ServiceId(const char *name);
 
 /* Builds a table with one reference from a copy of count routes. */
 struct GbRouteTable *GbRouteTable_New(uint64_t version,
@@ -83,7 +85,7 @@
 
 /* Returns the settings of a service; NULL if there are none. */
 const struct GbServiceSettings *
-GbRouteTable_FindService(const struct GbRouteTable *self, uint32_t service_id);
+GbRouteTable_FindService(const struct GbRouteTable *self, uint64_t service_id);
 
 struct GbRouteTable *GbRouteTable_Ref(struct GbRouteTable *self);
 
@@ -92,11 +94,11 @@
 
 /* Returns true if a route has this service as one of its backends, whatever
  * its weight. */
-bool GbRoute_HasBackend(const struct GbRoute *self, uint32_t service_id);
+bool GbRoute_HasBackend(const struct GbRoute *self, uint64_t service_id);
 
 /* Returns true if any route has this service as one of its backends. */
 bool GbRouteTable_HasService(const struct GbRouteTable *self,
-                             uint32_t service_id);
+                             uint64_t service_id);
 
 /* Returns the route of an address and port; NULL if there is none. */
 const struct GbRoute *GbRouteTable_Find(const struct GbRouteTable *self,
--- a/src/state/routing_view.c
+++ b/src/state/routing_view.c
@@ -6,8 +6,8 @@
 static int
 compare_service_id(const void *a, const void *b)
 {
-    uint32_t id_a = ((const struct GbCandidates *)a)->service_id;
-    uint32_t id_b = ((const struct GbCandidates *)b)->service_id;
+    uint64_t id_a = ((const struct GbCandidates *)a)->service_id;
+    uint64_t id_b = ((const struct GbCandidates *)b)->service_id;
 
     return (id_a > id_b) - (id_a < id_b);
 }
@@ -138,7 +138,7 @@
 }
 
 const struct GbCandidates *
-GbRoutingView_Candidates(const struct GbRoutingView *self, uint32_t service_id)
+GbRoutingView_Candidates(const struct GbRoutingView *self, uint64_t service_id)
 {
     struct GbCandidates key = {.service_id = service_id};
 
--- a/src/state/routing_view.h
+++ b/src/state/routing_view.h
@@ -43,7 +43,7 @@
  * none. */
 const struct GbCandidates *
 GbRoutingView_Candidates(const struct GbRoutingView *self,
-                         uint32_t service_id);
+                         uint64_t service_id);
 
 /* Returns the first instance of the list at an address; NULL if there is
  * none. */
--- a/src/state/view.c
+++ b/src/state/view.c
@@ -44,8 +44,8 @@
 static int
 compare_service_id(const void *a, const void *b)
 {
-    uint32_t id_a = ((const struct GbCandidates *)a)->service_id;
-    uint32_t id_b = ((const struct GbCandidates *)b)->service_id;
+    uint64_t id_a = ((const struct GbCandidates *)a)->service_id;
+    uint64_t id_b = ((const struct GbCandidates *)b)->service_id;
 
     return (id_a > id_b) - (id_a < id_b);
 }
--- a/src/state/view.h
+++ b/src/state/view.h
@@ -6,7 +6,7 @@
 
 /* Live agents of one service, as candidates for new flows. */
 struct GbCandidates {
-    uint32_t service_id;
+    uint64_t service_id;
     /* Pointers into the view's instance list. */
     const struct GbInstance **instances;
     uint32_t count;
