Move the replies to other agents' queries out of the lookups

flow_location had both sides of a lookup, the agent that asks and the agent that is asked. The latter is now flow_query; the three copies of sending a notice with the service of its receiver are one function. No change of behaviour: test_flow_location, test_weighted_location, test_flow_owner and test_flow_resets pass.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -8,6 +8,7 @@
 #include "coordination/flows/flow_load.h"
 #include "coordination/flows/flow_location.h"
 #include "coordination/flows/flow_owner.h"
+#include "coordination/flows/flow_query.h"
 #include "coordination/flows/flow_returns.h"
 #include "coordination/flows/flow_service.h"
 #include "state/timer_queue.h"
@@ -152,7 +153,7 @@
     GbFlowAgent_RecordDecision(self, GB_FLOW_DECISION_ADOPTED, &packet->key,
                                self->config.own_ipv4, self->in_flight,
                                GbFlowLoad_OwnSlots(self));
-    GbFlowLocation_ReportAdoptedFlow(self, &packet->key);
+    GbFlowQuery_ReportAdoptedFlow(self, &packet->key);
     return flow;
 }
 
@@ -283,7 +284,7 @@
     }
     flow = GbFlowAgent_FindFlow(self, &packet->key);
     if (packet->hops == GB_FLOW_HOPS_PROBE) {
-        GbFlowLocation_ReceiveProbe(self, from_ipv4, packet, flow);
+        GbFlowQuery_ReceiveProbe(self, from_ipv4, packet, flow);
     }
     else if (!GbPacket_IsSyn(packet)) {
         receive_non_syn(self, packet, flow, balancer_ipv4);
@@ -405,7 +406,7 @@
         record_load(self, from_ipv4, notice);
         break;
     case GB_FLOW_NOTICE_OWNER_QUERY:
-        GbFlowLocation_ReplyToQuery(self, from_ipv4, notice);
+        GbFlowQuery_Reply(self, from_ipv4, notice);
         break;
     case GB_FLOW_NOTICE_SYN_REFUSED:
         GbFlowAdmission_RecordRemoteRefusal(self, from_ipv4, notice);
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -118,14 +118,6 @@
     }
 }
 
-/* Sends a notice with the service of its receiver. */
-static void
-notify(struct GbFlowAgent *self, struct GbFlowNotice *notice, uint32_t to_ipv4)
-{
-    notice->service_id = GbFlowService_At(self, &notice->key, to_ipv4);
-    self->port->klass->notify(self->port, notice, to_ipv4);
-}
-
 static void
 send_query(struct GbFlowAgent *self, const struct GbFlowLookup *lookup,
            uint32_t ipv4)
@@ -133,7 +125,7 @@
     struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_OWNER_QUERY,
                                   .key = lookup->packet.key};
 
-    notify(self, &notice, ipv4);
+    GbFlowService_Notify(self, &notice, ipv4);
 }
 
 /* Queries the agents of the services that the routes known here do not lead
@@ -331,85 +323,6 @@
     }
 }
 
-static void
-notify_owner(struct GbFlowAgent *self, const struct GbFlowKey *key,
-             uint32_t owner_ipv4, uint32_t to_ipv4)
-{
-    struct GbFlowNotice notice = {
-        .kind = GB_FLOW_NOTICE_OWNER, .key = *key, .owner_ipv4 = owner_ipv4};
-
-    notify(self, &notice, to_ipv4);
-}
-
-void
-GbFlowLocation_ReceiveProbe(struct GbFlowAgent *self, uint32_t from_ipv4,
-                            struct GbPacket *packet,
-                            const struct GbPacketFlow *flow)
-{
-    if (flow != NULL && !GbPacketFlow_IsAt(flow, from_ipv4)) {
-        notify_owner(self, &packet->key,
-                     flow->state == GB_PACKET_FLOW_REMOTE
-                         ? flow->owner_ipv4
-                         : self->config.own_ipv4,
-                     from_ipv4);
-        return;
-    }
-    GbFlowProbes_Add(&self->probes, &packet->key, from_ipv4);
-    GbFlowAgent_DeliverToTarget(self, packet);
-}
-
-void
-GbFlowLocation_ReportReturnedProbe(struct GbFlowAgent *self,
-                                   const struct GbPacket *packet)
-{
-    struct GbFlowNotice notice = {.kind = GB_FLOW_NOTICE_NOT_OWNER,
-                                  .key = packet->key};
-    uint32_t from_ipv4 = GbFlowProbes_Take(&self->probes, &packet->key);
-
-    if (from_ipv4 != 0) {
-        notify(self, &notice, from_ipv4);
-    }
-}
-
-void
-GbFlowLocation_ReportAdoptedFlow(struct GbFlowAgent *self,
-                                 const struct GbFlowKey *key)
-{
-    uint32_t from_ipv4 = GbFlowProbes_Take(&self->probes, key);
-
-    if (from_ipv4 != 0) {
-        notify_owner(self, key, self->config.own_ipv4, from_ipv4);
-    }
-}
-
-void
-GbFlowLocation_ReplyToQuery(struct GbFlowAgent *self, uint32_t from_ipv4,
-                            const struct GbFlowNotice *notice)
-{
-    int64_t now_us = GbClock_MonotonicUs(self->clock);
-    struct GbPacketFlow *flow = GbFlowAgent_FindFlow(self, &notice->key);
-    struct GbFlowNotice reply = *notice;
-
-    GbFlowOwner_Verify(self, flow, now_us);
-
-    /* A flow that was handed over to the sender, which does not have it, may
-     * be at the own target: both replied to the SYN packet. */
-    if (flow != NULL && !GbPacketFlow_IsAt(flow, from_ipv4)) {
-        reply.kind = GB_FLOW_NOTICE_OWNER;
-        reply.owner_ipv4 = flow->state == GB_PACKET_FLOW_REMOTE
-                               ? flow->owner_ipv4
-                               : self->config.own_ipv4;
-    }
-    else if (flow == NULL &&
-             GbFlowCompleteness_IsComplete(&self->completeness, now_us)) {
-        reply.kind = GB_FLOW_NOTICE_NOT_OWNER;
-    }
-    else {
-        reply.kind = GB_FLOW_NOTICE_OWNER_UNKNOWN;
-    }
-    notify(self, &reply, from_ipv4);
-}
-
 /* Agents that are probed reply a second time. */
 static bool
 have_all_replied(const struct GbFlowLookup *lookup)
--- a/src/coordination/flows/flow_location.h
+++ b/src/coordination/flows/flow_location.h
@@ -23,29 +23,10 @@
  * view has been set. */
 void GbFlowLocation_ReceiveView(struct GbFlowAgent *self);
 
-/* Replies to another agent's query for the owner of a flow. */
-void GbFlowLocation_ReplyToQuery(struct GbFlowAgent *self, uint32_t from_ipv4,
-                                 const struct GbFlowNotice *notice);
-
 /* Handles another agent's reply to a query. */
 void GbFlowLocation_ReceiveReply(struct GbFlowAgent *self, uint32_t from_ipv4,
                                  const struct GbFlowNotice *notice);
 
-/* Handles a probe from another agent. flow is the one in the own table, or
- * NULL. */
-void GbFlowLocation_ReceiveProbe(struct GbFlowAgent *self, uint32_t from_ipv4,
-                                 struct GbPacket *packet,
-                                 const struct GbPacketFlow *flow);
-
-/* Tells the sender of a probe that the own target has returned it. */
-void GbFlowLocation_ReportReturnedProbe(struct GbFlowAgent *self,
-                                        const struct GbPacket *packet);
-
-/* Tells the sender of a probe, if there is one, that the own target has the
- * flow. */
-void GbFlowLocation_ReportAdoptedFlow(struct GbFlowAgent *self,
-                                      const struct GbFlowKey *key);
-
 /* Ends the lookups whose deadline has passed. */
 void GbFlowLocation_Tick(struct GbFlowAgent *self, int64_t now_us);
 
--- a/src/coordination/flows/flow_owner.c
+++ b/src/coordination/flows/flow_owner.c
@@ -49,9 +49,8 @@
     if (flow == NULL || !GbFlowOwner_IsDoubtful(self, flow, now_us)) {
         return;
     }
-    query.service_id = GbFlowService_At(self, &flow->key, flow->owner_ipv4);
     query.key = flow->key;
-    self->port->klass->notify(self->port, &query, flow->owner_ipv4);
+    GbFlowService_Notify(self, &query, flow->owner_ipv4);
     GbFlowOwner_RecordQuery(flow, now_us);
 }
 
--- a/src/coordination/flows/flow_returns.c
+++ b/src/coordination/flows/flow_returns.c
@@ -4,6 +4,7 @@
 #include "coordination/flows/flow_admission.h"
 #include "coordination/flows/flow_location.h"
 #include "coordination/flows/flow_owner.h"
+#include "coordination/flows/flow_query.h"
 
 void
 GbFlowReturns_Receive(struct GbFlowAgent *self, struct GbPacket *packet)
@@ -19,7 +20,7 @@
     }
     GbTargetMonitor_RecordReply(&self->target_monitor);
     if (packet->hops == GB_FLOW_HOPS_PROBE) {
-        GbFlowLocation_ReportReturnedProbe(self, packet);
+        GbFlowQuery_ReportReturnedProbe(self, packet);
         return;
     }
     balancer_ipv4 = GbFlowProbes_Take(&self->unclaimed, &packet->key);
--- a/src/coordination/flows/flow_service.c
+++ b/src/coordination/flows/flow_service.c
@@ -47,3 +47,11 @@
                ? self->config.service_id
                : former_id;
 }
+
+void
+GbFlowService_Notify(const struct GbFlowAgent *self,
+                     struct GbFlowNotice *notice, uint32_t to_ipv4)
+{
+    notice->service_id = GbFlowService_At(self, &notice->key, to_ipv4);
+    self->port->klass->notify(self->port, notice, to_ipv4);
+}
--- a/src/coordination/flows/flow_service.h
+++ b/src/coordination/flows/flow_service.h
@@ -15,4 +15,9 @@
 uint64_t GbFlowService_At(const struct GbFlowAgent *self,
                           const struct GbFlowKey *key, uint32_t ipv4);
 
+/* Sends a notice about a flow to the agent at an address, with the service of
+ * that agent. */
+void GbFlowService_Notify(const struct GbFlowAgent *self,
+                          struct GbFlowNotice *notice, uint32_t to_ipv4);
+
 #endif
