Keep open flows at the former service of a route with a single one

What callers saw: a route got another service in place of its only one.

Cause: the history of the routes left out routes with a single service, as if their open flows ended with the change. Balancers sent the packets to the new service, whose agents had to look up every flow.

Change: the history has the former services of all routes that stay.

--- a/src/state/route_history.c
+++ b/src/state/route_history.c
@@ -98,7 +98,7 @@
         const struct GbRoute *new_route =
             GbRouteTable_Find(new_routes, &old_route->address);
 
-        if (new_route != NULL && old_route->backend_count > 0) {
+        if (new_route != NULL) {
             replace_route(self, old_route, new_route, now_us);
         }
     }
--- a/tests/test_route_history.c
+++ b/tests/test_route_history.c
@@ -51,7 +51,7 @@
      false},
     {"removed long ago, then the weights change often", 1, 20, 60 * SECOND,
      true, false, true},
-    {"single service replaced", 1, 0, SECOND, false, false, false},
+    {"single service replaced", 1, 0, SECOND, false, true, false},
 };
 
 /* Guards against flows that lose their owner when its service leaves the
--- a/tests/test_weighted_steering.c
+++ b/tests/test_weighted_steering.c
@@ -102,38 +102,39 @@
     const char *name;
     int32_t before[2];
     int32_t after[2];
-    /* Whether packets of flows that are in the cache stay at the backend of
-     * their owner. */
-    bool is_kept;
     /* Backend of all new flows and of packets without a cache entry; 2 if it
-     * is either. */
+     * is either. Packets of flows in the cache stay at the first one. */
     uint32_t next;
+    /* Backend of a copy of a SYN packet in the cache. */
+    uint32_t copy;
 };
 
 static const struct ChangeCase change_cases[] = {
-    {"all to the second", {100, 0}, {0, 100}, true, 1},
-    {"half to the second", {100, 0}, {50, 50}, true, 2},
+    {"all to the second", {100, 0}, {0, 100}, 1, 0},
+    {"half to the second", {100, 0}, {50, 50}, 2, 0},
     {"the first is removed",
      {100, 0},
      {GB_FLOW_FIXTURE_NO_BACKEND, 100},
-     true,
+     1,
      1},
     {"a single service becomes another one",
      {GB_FLOW_FIXTURE_NO_BACKEND, GB_FLOW_FIXTURE_NO_BACKEND},
      {GB_FLOW_FIXTURE_NO_BACKEND, 1},
-     false,
+     1,
      1},
 };
 
 /* The operator changes the weights while flows are open. Guards against
  * packets of open flows that reach another backend than their owner although
  * the balancer knows it, or that do not carry the service of their receiver,
- * which drops them. */
+ * which drops them, and against new flows at a backend that has left the
+ * route. */
 static void
 test_open_flows_after_change(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(change_cases); i++) {
         const struct ChangeCase *row = &change_cases[i];
+        struct GbFlowAction action;
         struct Fixture fixture;
 
         g_test_message("%s", row->name);
@@ -144,17 +145,20 @@
         set_weights(&fixture, row->after[0], row->after[1], 2);
         for (uint32_t client = 0; client < 2 * CLIENTS; client++) {
             bool is_open = client < CLIENTS;
-            struct GbFlowAction action =
-                send_packet(&fixture, client, GB_PACKET_ACK, 7);
-            uint32_t backend = backend_of(&action);
+            uint32_t backend;
+
+            action = send_packet(&fixture, client, GB_PACKET_ACK, 7);
+            backend = backend_of(&action);
 
-            if (is_open && row->is_kept) {
+            if (is_open) {
                 g_assert_cmpuint(backend, ==, 0);
             }
             else if (row->next < 2) {
                 g_assert_cmpuint(backend, ==, row->next);
             }
         }
+        action = send_packet(&fixture, 0, GB_PACKET_SYN, 1);
+        g_assert_cmpuint(backend_of(&action), ==, row->copy);
         finish_fixture(&fixture);
     }
 }
