Send versions without routes to peers

Cause: in a view delta, a number of routes of 0 stood for routes that have not changed, and for none. The receiver kept its routes, but took the store's revision, so that its watch of the store began after the version as well.

Change: the header of a delta says whether it has routes.

--- a/src/protocol/view_delta.c
+++ b/src/protocol/view_delta.c
@@ -94,6 +94,7 @@
     if (!is_basic) {
         GbMsgpackWriter_WriteUint(&writer, content->format);
         GbMsgpackWriter_WriteUint(&writer, store->is_reduced);
+        GbMsgpackWriter_WriteUint(&writer, content->has_routes);
         GbMsgpackWriter_WriteUint(
             &writer, content->has_routes ? routes->service_count : 0);
         GbMsgpackWriter_WriteUint(&writer, store->evacuations.count);
--- a/src/protocol/view_delta_reader.c
+++ b/src/protocol/view_delta_reader.c
@@ -55,11 +55,13 @@
         (uint32_t)GbMsgpackReader_ReadUint(&reader, GB_INSTANCES_MAX);
     self->routes_version = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
     *idle_timeout_ms = (uint32_t)GbMsgpackReader_ReadUint(&reader, UINT32_MAX);
+    self->has_routes = self->route_count > 0;
     if (self->format != GB_VIEW_DELTA_FORMAT_BASIC) {
         uint64_t format =
             GbMsgpackReader_ReadUint(&reader, GB_VIEW_DELTA_FORMAT);
 
         self->is_reduced = GbMsgpackReader_ReadUint(&reader, 1) == 1;
+        self->has_routes = GbMsgpackReader_ReadUint(&reader, 1) == 1;
         self->service_count =
             (uint32_t)GbMsgpackReader_ReadUint(&reader, GB_SERVICES_MAX);
         self->evacuation_count =
@@ -192,7 +194,7 @@
            read_route(self, &routes[read_count])) {
         read_count++;
     }
-    if (read_count == self->route_count && read_count > 0) {
+    if (read_count == self->route_count && self->has_routes) {
         self->routes = GbRouteTable_New(self->routes_version, idle_timeout_ms,
                                         routes, read_count);
     }
--- a/src/protocol/view_delta_reader.h
+++ b/src/protocol/view_delta_reader.h
@@ -8,7 +8,7 @@
 /* Number of items of the header of a delta in the basic format and in the
  * current one. */
 #define GB_VIEW_DELTA_BASIC_HEADER_ITEM_COUNT 6
-#define GB_VIEW_DELTA_HEADER_ITEM_COUNT 12
+#define GB_VIEW_DELTA_HEADER_ITEM_COUNT 13
 
 /* Times of the history of the routes are sent as ages. Older ones do not
  * matter and are sent as this one. */
@@ -24,6 +24,8 @@
     uint64_t routes_version;
     bool is_full;
     bool is_reduced;
+    /* Also true for routes of a version that has none. */
+    bool has_routes;
     uint32_t route_count;
     uint32_t instance_count;
     uint32_t service_count;
