Refuse openings with a reset that open flows do not take

Cause: copies of a SYN packet wait at agents of several data centres. One opens the flow; another gives its copy up and resets the client, with the number of the copy, 0 to 2, as sequence number, which is within the client's window if its target numbers flows low. At the agent of the flow itself, a copy that was queued was refused also after the flow had opened.

Change: the reset carries a number made from the hash of the flow's key. A client without an open flow accepts any number. An agent whose target has replied to the flow refuses no copy before the flow is closed.

--- a/src/coordination/flows/flow_agent_state.c
+++ b/src/coordination/flows/flow_agent_state.c
@@ -4,6 +4,19 @@
 
 #define US_PER_MS INT64_C(1000)
 
+/* A client accepts a reset with a sequence number near its last
+ * acknowledgement, and any number before the flow is open. The answer to a SYN
+ * packet gets a number that no target is likely to use: another agent may have
+ * opened the flow with a copy of the packet, and the client must not take the
+ * reset then. */
+static uint32_t
+reset_sequence(const struct GbPacket *packet)
+{
+    return GbPacket_IsSyn(packet)
+               ? (uint32_t)(GbFlowKey_Hash(&packet->key) >> 32)
+               : packet->acknowledgement;
+}
+
 static void
 log_decision(struct GbFlowAgent *self, struct GbFlowDecision *decision)
 {
@@ -58,9 +71,6 @@
 GbFlowAgent_ResetClient(struct GbFlowAgent *self,
                         const struct GbPacket *packet)
 {
-    /* A client accepts a reset with a sequence number near its last
-     * acknowledgement, and any number before the flow is open. */
     GbCounters_Add(self->counters, GB_COUNTER_FLOWS_RESET, 1);
-    self->port->klass->reset(self->port, &packet->key,
-                             packet->acknowledgement);
+    self->port->klass->reset(self->port, &packet->key, reset_sequence(packet));
 }
--- a/src/coordination/flows/flow_refusal.c
+++ b/src/coordination/flows/flow_refusal.c
@@ -34,15 +34,17 @@
 }
 
 /* Returns true if the own target has replied to an earlier copy of the SYN
- * packet. The client may be sending its request already. */
+ * packet, and the flow was not closed since. The client may be sending its
+ * request already. */
 static bool
 has_target_replied(const struct GbFlowAgent *self, const struct GbFlowKey *key)
 {
     const struct GbPacketFlow *flow =
         GbPacketFlowTable_Find(&self->flows, key);
 
-    return flow != NULL && flow->state == GB_PACKET_FLOW_OPENING &&
-           flow->has_target_sequence;
+    return flow != NULL && flow->state != GB_PACKET_FLOW_REMOTE &&
+           flow->has_target_sequence && !flow->is_closed_by_client &&
+           !flow->is_closed_by_target;
 }
 
 void
