--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -14,12 +14,12 @@
     char name[GB_NAME_BYTES];
     /* XXH64 of the name. */
     uint64_t id;
+    /* GbRouteTable_ServiceId of the service; only set in lists for packet
+     * forwarding. */
+    uint64_t service_id;
     enum GbRole role;
     /* Service of the agent's target; empty for a balancer. */
     char service[GB_NAME_BYTES];
-    /* GbRouteTable_ServiceId of that name; only set in lists for packet
-     * forwarding. */
-    uint64_t service_id;
     char data_centre[GB_NAME_BYTES];
     struct GbAddress address;
     uint32_t weight;
