Deliver no further packets of a flow whose unlisted owner is silent

A flow that was handed over to an agent whose entry has expired, and that is silent, got each of its packets to the own target, which returned it to the lookup that was suspended: packets of an open flow that reach another target for seconds (FLOW). As for flows without a record, they go to the lookup now. test_flow_owner has the case.

A reply that names the owner counts as one of a former backend only if the agent was queried as one of another service.

--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -92,12 +92,12 @@
 {
     int64_t now_us = GbClock_MonotonicUs(self->clock);
 
-    if (flow == NULL && GbFlowLocation_IsLookedUp(self, &packet->key)) {
-        /* The target does not get the packets that it would return. */
-        GbFlowLocation_StartLookup(self, packet, balancer_ipv4);
-        return;
-    }
     if (flow == NULL || GbFlowOwner_IsDoubtful(self, flow, now_us)) {
+        if (GbFlowLocation_IsLookedUp(self, &packet->key)) {
+            /* The target has returned a packet of the flow already. */
+            GbFlowLocation_StartLookup(self, packet, balancer_ipv4);
+            return;
+        }
         /* The target may have had the flow before this process started, or
          * the client may have chosen it. If not, it returns the packet. */
         if (balancer_ipv4 != 0) {
--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -288,8 +288,7 @@
     const struct GbFlowLookup *lookup =
         GbFlowLookups_Find(&self->lookups, &notice->key);
 
-    return lookup != NULL && lookup->is_querying_other_services &&
-           GbFlowLookup_IsQueried(lookup, from_ipv4) &&
+    return lookup != NULL && GbFlowLookup_IsOtherService(lookup, from_ipv4) &&
            notice->owner_ipv4 == from_ipv4;
 }
 
--- a/src/coordination/flows/flow_lookup.c
+++ b/src/coordination/flows/flow_lookup.c
@@ -63,6 +63,26 @@
     return false;
 }
 
+/* Returns agent_count if the agent was not added. */
+static uint32_t
+find_agent_index(const struct GbFlowLookup *self, uint32_t ipv4)
+{
+    uint32_t at = 0;
+
+    while (at < self->agent_count && self->agents[at].ipv4 != ipv4) {
+        at++;
+    }
+    return at;
+}
+
+static const struct GbFlowLookupAgent *
+find_agent(const struct GbFlowLookup *self, uint32_t ipv4)
+{
+    uint32_t at = find_agent_index(self, ipv4);
+
+    return at < self->agent_count ? &self->agents[at] : NULL;
+}
+
 /* Returns the suspended lookup that would end first, or NULL. */
 static struct GbFlowLookup *
 find_oldest_suspended(struct GbFlowLookups *self)
@@ -161,12 +181,15 @@
 bool
 GbFlowLookup_IsQueried(const struct GbFlowLookup *self, uint32_t ipv4)
 {
-    for (uint32_t i = 0; i < self->agent_count; i++) {
-        if (self->agents[i].ipv4 == ipv4) {
-            return true;
-        }
-    }
-    return false;
+    return find_agent(self, ipv4) != NULL;
+}
+
+bool
+GbFlowLookup_IsOtherService(const struct GbFlowLookup *self, uint32_t ipv4)
+{
+    const struct GbFlowLookupAgent *agent = find_agent(self, ipv4);
+
+    return agent != NULL && agent->is_other_service;
 }
 
 bool
@@ -202,15 +225,13 @@
 GbFlowLookup_RecordReply(struct GbFlowLookup *self, uint32_t ipv4,
                          enum GbFlowLookupReply reply)
 {
-    for (uint32_t i = 0; i < self->agent_count; i++) {
-        struct GbFlowLookupAgent *agent = &self->agents[i];
+    uint32_t at = find_agent_index(self, ipv4);
 
-        if (agent->ipv4 == ipv4) {
-            agent->reply = MAX(agent->reply, reply);
-            return true;
-        }
+    if (at == self->agent_count) {
+        return false;
     }
-    return false;
+    self->agents[at].reply = MAX(self->agents[at].reply, reply);
+    return true;
 }
 
 void
--- a/src/coordination/flows/flow_lookup.h
+++ b/src/coordination/flows/flow_lookup.h
@@ -89,6 +89,10 @@
 /* Returns true if the agent was added. */
 bool GbFlowLookup_IsQueried(const struct GbFlowLookup *self, uint32_t ipv4);
 
+/* Returns true if the agent was added as one of another service. */
+bool GbFlowLookup_IsOtherService(const struct GbFlowLookup *self,
+                                 uint32_t ipv4);
+
 /* Returns true if any agent has yet to reply, to a query or a probe. */
 bool GbFlowLookup_IsAwaitingReply(const struct GbFlowLookup *self);
 
--- a/src/coordination/flows/steering.c
+++ b/src/coordination/flows/steering.c
@@ -68,13 +68,16 @@
             ? instance->service_id
             : GbFormerAgents_ServiceAt(&self->former_agents, agent_ipv4);
 
-    if (agent_ipv4 == 0 || !GbRoutingView_MayOwn(self->view, &route->address,
-                                                 service_id, now_us)) {
+    bool is_present = GbRoute_HasBackend(route, service_id);
+
+    if (agent_ipv4 == 0 ||
+        (!is_present &&
+         !GbRouteHistory_HasFormer(&self->view->history, &route->address,
+                                   service_id, now_us))) {
         return 0;
     }
     if (GbPacket_IsSyn(packet) &&
-        (instance == NULL || packet->acknowledgement == 0 ||
-         !GbRoute_HasBackend(route, service_id) ||
+        (!is_present || instance == NULL || packet->acknowledgement == 0 ||
          GbRoutingView_Candidates(self->view, service_id) == NULL)) {
         return 0;
     }
--- a/tests/test_flow_owner.c
+++ b/tests/test_flow_owner.c
@@ -263,6 +263,32 @@
     GbFlowAgentFixture_Finish(&fixture);
 }
 
+/* Guards against packets of a flow that reach the own target again and again
+ * while its owner, which is not listed, is silent. */
+static void
+test_target_gets_one_packet(void)
+{
+    struct GbFlowAgentFixture fixture;
+
+    init_fixture(&fixture, 2);
+    GbManualClock_Advance(&fixture.clock, 400 * MS);
+    for (uint32_t copy = 0; copy < 3; copy++) {
+        GbFlowAgentFixture_ReceiveFromBalancer(&fixture, CLIENT, GB_PACKET_ACK,
+                                               7, 200);
+        if (copy == 0) {
+            GbFlowAgentFixture_ReceiveFromTarget(
+                &fixture, CLIENT, GB_PACKET_ACK | GB_PACKET_RETURNED, 1, 200);
+        }
+        GbFlowAgentFixture_Advance(&fixture, 100 * MS);
+    }
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_DELIVER), ==,
+        1);
+    g_assert_cmpuint(
+        GbFlowRecorder_Count(&fixture.recorder, GB_FLOW_ACTION_RESET), ==, 0);
+    GbFlowAgentFixture_Finish(&fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -272,5 +298,7 @@
     g_test_add_func("/flow-owner/owner-is-looked-up", test_owner_is_looked_up);
     g_test_add_func("/flow-owner/query-of-another-agent",
                     test_query_of_another_agent);
+    g_test_add_func("/flow-owner/target-gets-one-packet",
+                    test_target_gets_one_packet);
     return g_test_run();
 }
