Select the instances of a view in a module of its own

Which entry represents an address is now view_selection. In flow_lookup, the static functions come first again. No change of behaviour: the tests of views, stores, flows and steering pass.

--- a/src/coordination/flows/flow_lookup.c
+++ b/src/coordination/flows/flow_lookup.c
@@ -5,35 +5,6 @@
 
 #include "state/timer_queue.h"
 
-void
-GbFlowLookups_Init(struct GbFlowLookups *self)
-{
-    memset(self, 0, sizeof(*self));
-    GbRouteHistory_Init(&self->learned);
-}
-
-void
-GbFlowLookups_Finish(struct GbFlowLookups *self)
-{
-    g_free(self->items);
-    self->items = NULL;
-}
-
-struct GbFlowLookup *
-GbFlowLookups_Find(struct GbFlowLookups *self, const struct GbFlowKey *key)
-{
-    if (self->open_count == 0) {
-        return NULL;
-    }
-    for (uint32_t i = 0; i < GB_FLOW_LOOKUPS_MAX; i++) {
-        if (self->items[i].is_open &&
-            GbFlowKey_Equal(&self->items[i].packet.key, key)) {
-            return &self->items[i];
-        }
-    }
-    return NULL;
-}
-
 static void
 copy_packet(struct GbFlowLookup *self, const struct GbPacket *packet)
 {
@@ -123,6 +94,35 @@
     return &self->items[at];
 }
 
+void
+GbFlowLookups_Init(struct GbFlowLookups *self)
+{
+    memset(self, 0, sizeof(*self));
+    GbRouteHistory_Init(&self->learned);
+}
+
+void
+GbFlowLookups_Finish(struct GbFlowLookups *self)
+{
+    g_free(self->items);
+    self->items = NULL;
+}
+
+struct GbFlowLookup *
+GbFlowLookups_Find(struct GbFlowLookups *self, const struct GbFlowKey *key)
+{
+    if (self->open_count == 0) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < GB_FLOW_LOOKUPS_MAX; i++) {
+        if (self->items[i].is_open &&
+            GbFlowKey_Equal(&self->items[i].packet.key, key)) {
+            return &self->items[i];
+        }
+    }
+    return NULL;
+}
+
 struct GbFlowLookup *
 GbFlowLookups_Open(struct GbFlowLookups *self, const struct GbPacket *packet,
                    int64_t deadline_us)
--- a/src/coordination/flows/view_store.c
+++ b/src/coordination/flows/view_store.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "coordination/flows/view_selection.h"
 #include "state/store_position.h"
 #include "state/timer_queue.h"
 
@@ -18,89 +19,6 @@
     return g_hash_table_lookup(self->entries_by_id, &id);
 }
 
-static bool
-is_in_use(const struct GbViewEntry *entry)
-{
-    return !entry->is_removed || entry->use_until_us != 0;
-}
-
-/* Returns true if an entry takes the place of another one at its address. An
- * entry of another writer may name a service that does not exist; it must not
- * take the place of an instance that serves a route. */
-static bool
-supersedes(const struct GbViewStore *self, const struct GbViewEntry *entry,
-           const struct GbViewEntry *other)
-{
-    bool is_routed =
-        GbRouteTable_HasService(self->routes, entry->instance.service_id);
-    bool is_other_routed =
-        GbRouteTable_HasService(self->routes, other->instance.service_id);
-
-    if (is_routed != is_other_routed) {
-        return is_routed;
-    }
-    return entry->instance.revision > other->instance.revision;
-}
-
-static bool
-shares_ipv4(const struct GbViewStore *self, const struct GbViewEntry *entry)
-{
-    gpointer key = GUINT_TO_POINTER(entry->instance.address.ipv4);
-
-    return GPOINTER_TO_INT(g_hash_table_lookup(self->counts_by_ipv4, key)) > 1;
-}
-
-/* Returns the entries that represent the IPv4 addresses with several entries,
- * by address. */
-static GHashTable *
-choose_by_ipv4(const struct GbViewStore *self)
-{
-    GHashTable *chosen = g_hash_table_new(NULL, NULL);
-
-    for (guint i = 0; i < self->entries->len; i++) {
-        struct GbViewEntry *entry = self->entries->pdata[i];
-        gpointer key = GUINT_TO_POINTER(entry->instance.address.ipv4);
-        const struct GbViewEntry *other;
-
-        if (!is_in_use(entry) || !shares_ipv4(self, entry)) {
-            continue;
-        }
-        other = g_hash_table_lookup(chosen, key);
-        if (other == NULL || supersedes(self, entry, other)) {
-            g_hash_table_insert(chosen, key, entry);
-        }
-    }
-    return chosen;
-}
-
-/* Returns true if another entry represents the address of this one. */
-static bool
-is_superseded(GHashTable *chosen, const struct GbViewEntry *entry)
-{
-    gpointer key = GUINT_TO_POINTER(entry->instance.address.ipv4);
-    const struct GbViewEntry *other = g_hash_table_lookup(chosen, key);
-
-    return other != NULL && other != entry;
-}
-
-/* Stops using removed entries whose address another entry represents, so that
- * they are not used again when that one is removed. */
-static void
-stop_using_superseded(struct GbViewStore *self, GHashTable *chosen)
-{
-    GHashTableIter tombstones;
-    gpointer value;
-
-    g_hash_table_iter_init(&tombstones, self->tombstones);
-    while (g_hash_table_iter_next(&tombstones, &value, NULL)) {
-        struct GbViewEntry *entry = value;
-
-        if (is_superseded(chosen, entry)) {
-            entry->use_until_us = 0;
-        }
-    }
-}
-
 static void
 count_ipv4(struct GbViewStore *self, uint32_t ipv4, int change)
 {
@@ -176,23 +94,6 @@
     return at_us != 0 && at_us <= now_us;
 }
 
-static struct GbInstanceList *
-list_in_use(const struct GbViewStore *self, GHashTable *chosen)
-{
-    struct GbInstanceList *list = GbInstanceList_New();
-
-    list->version = self->revision;
-    list->instances = g_new(struct GbInstance, self->entries->len);
-    for (guint i = 0; i < self->entries->len; i++) {
-        const struct GbViewEntry *entry = self->entries->pdata[i];
-
-        if (is_in_use(entry) && !is_superseded(chosen, entry)) {
-            list->instances[list->count++] = entry->instance;
-        }
-    }
-    return list;
-}
-
 /* Removes the entries that are not in the list. */
 static void
 remove_unlisted(struct GbViewStore *self, const struct GbInstanceList *list)
@@ -219,7 +120,7 @@
 loses_service(const struct GbViewStore *self, const struct GbViewEntry *entry,
               const struct GbInstance *instance)
 {
-    return self->routes != NULL && is_in_use(entry) &&
+    return self->routes != NULL && GbViewEntry_IsInUse(entry) &&
            GbRouteTable_HasService(self->routes, entry->instance.service_id) &&
            !GbRouteTable_HasService(self->routes, instance->service_id);
 }
@@ -260,6 +161,12 @@
     self->is_changed = true;
 }
 
+bool
+GbViewEntry_IsInUse(const struct GbViewEntry *self)
+{
+    return !self->is_removed || self->use_until_us != 0;
+}
+
 void
 GbViewStore_Init(struct GbViewStore *self, struct GbClock *clock)
 {
@@ -404,16 +311,12 @@
     struct GbInstanceList *list;
     struct GbRoutingView *view;
     struct GbDataCentreSet evacuated;
-    GHashTable *chosen;
 
     if ((!self->is_changed && !self->evacuations.is_changed) ||
         !GbViewStore_IsComplete(self)) {
         return NULL;
     }
-    chosen = choose_by_ipv4(self);
-    stop_using_superseded(self, chosen);
-    list = list_in_use(self, chosen);
-    g_hash_table_destroy(chosen);
+    list = GbViewSelection_Apply(self);
     view = GbRoutingView_New(self->routes, list);
     GbInstanceList_Unref(list);
     GbEvacuations_Collect(&self->evacuations, &evacuated);
--- a/src/coordination/flows/view_store.h
+++ b/src/coordination/flows/view_store.h
@@ -23,6 +23,9 @@
     uint32_t index;
 };
 
+/* Returns true if the entry is not removed, or used for a while longer. */
+bool GbViewEntry_IsInUse(const struct GbViewEntry *self);
+
 /* Versioned routes and instance entries of a process. Neither ever goes back
  * to an older state: routes are replaced only by those of a higher version,
  * and an entry only by one of a higher revision. Revisions are positions of
