Query agents of a service that becomes known during a lookup

A lookup without history queries the agents of the route's services, then those of all others. A service that had become known as a former backend in between, by the lookup of another flow, belonged to neither: its agents were not queried, and the client was reset although one of their targets had the flow (FLOW).

All agents that were not queried in the first step are queried in the second one now, and count by what is known then.

Found by new rows of test_flow_resets, in which the weights change while agents and balancers restart: with history, without it, and with lost datagrams.

Tried and left out: an agent that cannot tell a querying agent of another service counts as incomplete for longer.

--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -157,10 +157,10 @@
  * before. Returns false if the lookup has too many agents. */
 static bool
 query_agent(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
-            uint32_t ipv4)
+            uint32_t ipv4, bool is_other_service)
 {
     const struct GbFlowLookupAgent *agent =
-        GbFlowLookup_AddAgent(lookup, ipv4);
+        GbFlowLookup_AddAgent(lookup, ipv4, is_other_service);
 
     if (agent == NULL) {
         GbCounters_Add(self->counters, GB_COUNTER_LOOKUPS_PARTIAL, 1);
@@ -172,8 +172,9 @@
     return true;
 }
 
-/* Queries the agents of the services that the routes known here do not lead
- * to, in a fleet that is small enough to query all.
+/* Queries the agents that were not queried yet, in a fleet that is small
+ * enough to query all: those of the services that the routes known here do not
+ * lead to, and those of services that have become known as backends meanwhile.
  *
  * Handles processes that start after a change of the backends, such as those
  * of new targets, and processes that a change has not reached yet: the owner
@@ -193,11 +194,13 @@
     lookup->deadline_us = now_us + OTHER_SERVICES_TIMEOUT_US;
     for (uint32_t i = 0; i < self->view->list->count; i++) {
         const struct GbInstance *instance = &self->view->list->instances[i];
+        uint32_t ipv4 = instance->address.ipv4;
 
-        if (!GbFlowLookup_IsQueried(lookup, instance->address.ipv4) &&
-            !GbFlowService_MayOwn(self, &lookup->packet.key,
-                                  instance->service_id)) {
-            query_agent(self, lookup, instance->address.ipv4);
+        if (ipv4 != self->config.own_ipv4 &&
+            !GbFlowLookup_IsQueried(lookup, ipv4)) {
+            query_agent(self, lookup, ipv4,
+                        !GbFlowService_MayOwn(self, &lookup->packet.key,
+                                              instance->service_id));
         }
     }
     return lookup->agent_count > first;
@@ -235,7 +238,7 @@
         uint32_t ipv4 = GbUnlistedAgents_At(&self->unlisted, i, now_us);
 
         if (ipv4 != 0 && !is_possible_owner(self, &lookup->packet.key, ipv4) &&
-            !query_agent(self, lookup, ipv4)) {
+            !query_agent(self, lookup, ipv4, false)) {
             return;
         }
     }
@@ -256,7 +259,7 @@
                                   instance->service_id)) {
             continue;
         }
-        if (!query_agent(self, lookup, instance->address.ipv4)) {
+        if (!query_agent(self, lookup, instance->address.ipv4, false)) {
             return;
         }
     }
@@ -274,7 +277,7 @@
 
     if (flow != NULL && GbFlowOwner_IsDoubtful(self, flow, now_us) &&
         (GbFlowLookup_IsQueried(lookup, flow->owner_ipv4) ||
-         query_agent(self, lookup, flow->owner_ipv4))) {
+         query_agent(self, lookup, flow->owner_ipv4, false))) {
         GbFlowOwner_RecordQuery(flow, now_us);
     }
 }
--- a/src/coordination/flows/flow_lookup.c
+++ b/src/coordination/flows/flow_lookup.c
@@ -162,7 +162,8 @@
 }
 
 struct GbFlowLookupAgent *
-GbFlowLookup_AddAgent(struct GbFlowLookup *self, uint32_t ipv4)
+GbFlowLookup_AddAgent(struct GbFlowLookup *self, uint32_t ipv4,
+                      bool is_other_service)
 {
     struct GbFlowLookupAgent *agent;
 
@@ -173,7 +174,7 @@
     agent->ipv4 = ipv4;
     agent->reply = has_denied(self, ipv4) ? GB_FLOW_LOOKUP_NOT_OWNER
                                           : GB_FLOW_LOOKUP_NO_REPLY;
-    agent->is_other_service = self->is_querying_other_services;
+    agent->is_other_service = is_other_service;
     agent->is_probed = false;
     return agent;
 }
--- a/src/coordination/flows/flow_lookup.h
+++ b/src/coordination/flows/flow_lookup.h
@@ -80,11 +80,12 @@
 bool GbFlowLookup_Resume(struct GbFlowLookup *self,
                          const struct GbPacket *packet);
 
-/* Adds an agent of one of the route's services, or of another one once these
- * are queried. Returns NULL if there are too many. The agent need not be
- * queried if it has denied the flow before. */
+/* Adds an agent of one of the route's services, or of another one. Returns
+ * NULL if there are too many. The agent need not be queried if it has denied
+ * the flow before. */
 struct GbFlowLookupAgent *GbFlowLookup_AddAgent(struct GbFlowLookup *self,
-                                                uint32_t ipv4);
+                                                uint32_t ipv4,
+                                                bool is_other_service);
 
 /* Returns true if the agent was added. */
 bool GbFlowLookup_IsQueried(const struct GbFlowLookup *self, uint32_t ipv4);
--- a/tests/support/flow_fleet.h
+++ b/tests/support/flow_fleet.h
@@ -30,6 +30,9 @@
     bool crashes_targets;
     /* The route has two backends, and their weights change. */
     bool changes_weights;
+    /* The whole fleet has just started, so that nobody knows which backends
+     * have left the route, before a process or after its restart. */
+    bool lacks_history;
     /* Targets discard single flows. */
     bool ends_flows;
     /* Entries have the start time of another target, a wrong one or none, or
--- a/tests/support/flow_fleet_views.c
+++ b/tests/support/flow_fleet_views.c
@@ -112,6 +112,8 @@
     view = GbRoutingView_New(template->routes, template->list);
     GbRoutingView_Unref(template);
     view->routes->idle_timeout_ms = node->fleet->idle_limit_ms;
-    GbRoutingView_SetHistory(view, &node->fleet->history);
+    if (!node->fleet->faults.lacks_history) {
+        GbRoutingView_SetHistory(view, &node->fleet->history);
+    }
     return view;
 }
