soak: format lines before they are printed

Cause: clang-tidy 14.0.6 on x86-64 reports the vprintf of print_line, which gets a va_list from its callers, as a use of an uninitialized list (clang-analyzer-valist.Uninitialized). The callers began the list with va_start, so callers of the system saw nothing.

Now the two callers format the text and print_line gets it. Lines are as before.

--- a/tests/soak/soak_invariants.c
+++ b/tests/soak/soak_invariants.c
@@ -11,12 +11,11 @@
 
 static void
 print_line(const struct SoakInvariants *self, const char *word,
-           const char *format, va_list arguments)
+           const char *text)
 {
-    printf("%8.3f %s ",
-           (double)(Soak_NowMs() - self->start_ms) / MS_PER_SECOND, word);
-    vprintf(format, arguments);
-    printf("\n");
+    printf("%8.3f %s %s\n",
+           (double)(Soak_NowMs() - self->start_ms) / MS_PER_SECOND, word,
+           text);
     fflush(stdout);
 }
 
@@ -63,13 +62,16 @@
                                ...)
 {
     va_list arguments;
+    char *text;
 
     if (++self->violations > REPORTED_VIOLATIONS_MAX) {
         return;
     }
     va_start(arguments, format);
-    print_line(self, "VIOLATION", format, arguments);
+    text = g_strdup_vprintf(format, arguments);
     va_end(arguments);
+    print_line(self, "VIOLATION", text);
+    g_free(text);
 }
 
 void
@@ -77,8 +79,11 @@
                        ...)
 {
     va_list arguments;
+    char *text;
 
     va_start(arguments, format);
-    print_line(self, "note", format, arguments);
+    text = g_strdup_vprintf(format, arguments);
     va_end(arguments);
+    print_line(self, "note", text);
+    g_free(text);
 }
