--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -7,6 +7,8 @@
 #include "protocol/target_json.h"
 #include "protocol/view_delta.h"
 #include "store_item.h"
+#include "store_range.h"
+#include "store_reply.h"
 #include "support/watcher_fixture.h"
 #include "transport/task.h"
 
@@ -293,6 +295,7 @@
     {"another family of keys", "other/odd", "\"e30=\""},
     {"short key", "s", "\"e30=\""},
     {"control characters in the key", "servers/\\n event=x", "\"e30=\""},
+    {"NUL in the value", ODD_KEY, "\"e30=\\u0000\""},
 };
 
 /* Guards against items that cannot be decoded, or are not those of hosts. */
@@ -317,6 +320,99 @@
     }
 }
 
+/* Key that sorts after all unreadable ones but those of raw bytes. */
+#define LAST_KEY "servers/\xef\xbf\xbf"
+
+struct UnreadableKey {
+    /* As it is written in a JSON string. */
+    const char *key;
+    /* 0 for one page: the store of the test compares keys as they are written,
+     * and cannot read NUL characters in a query. */
+    uint32_t page_items;
+};
+
+static const struct UnreadableKey unreadable_keys[] = {
+    {"servers/\\u0000odd", 0},        {"servers/odd\\u0000", 0},
+    {"servers/good\\u0000", 0},       {"servers/\\ud800odd", 1},
+    {"servers/\\ude00\\ud83dodd", 1}, {"servers/odd\\udc00", 1},
+    {"servers/\xff\xfeodd", 0},       {"servers/\xed\xa0\x80odd", 1},
+    {"servers/\x01odd", 1},
+};
+
+/* Guards against a store that no process follows any more because of one key
+ * that has a NUL character, half of a surrogate pair or bytes that are no
+ * UTF-8: in a list, at the end of a page, among the operators' keys, and in
+ * the reply to a watch. */
+static void
+test_unreadable_key(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(unreadable_keys); i++) {
+        const char *key = unreadable_keys[i].key;
+        const struct GbFakeItem items[] = {
+            {key, NULL, 0, "\"e30=\""},
+            {LAST_KEY, GOOD_HOST, strlen(GOOD_HOST), NULL},
+        };
+        const struct GbFakeItem operator_item = {key, NULL, 0, "\"e30=\""};
+        const struct GbFakeWatch watches[] = {
+            {HTTP_OK, 11, key, "{}"},
+            {HTTP_OK, 12, key, NULL},
+            {HTTP_OK, 13, GOOD_KEY, OTHER_HOST("\"state\":\"draining\"")},
+        };
+        struct GbWatcherFixture fixture = {
+            .store = {.items = items,
+                      .item_count = 2,
+                      .page_items = unreadable_keys[i].page_items,
+                      .operator_items = &operator_item,
+                      .operator_item_count = 1,
+                      .watches = watches,
+                      .watch_count = 3}};
+
+        g_test_message("%s", key);
+        open_fixture(&fixture);
+        GbWatcherFixture_RunUntilRevision(&fixture, 13);
+        g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
+        g_assert_cmpuint(count_in_use(&fixture, LAST_KEY), ==, 1);
+        g_assert_cmpuint(fixture.view_store.entries->len, ==, 2);
+        GbWatcherFixture_Close(&fixture);
+    }
+}
+
+struct CursorCase {
+    const char *reply;
+    const char *path;
+};
+
+static const struct CursorCase cursor_cases[] = {
+    {"{\"items\":[{\"key\":\"servers/a b\"}],\"hasMore\":true}",
+     "/-/kv-range?prefix=servers/&after=servers/a%20b"},
+    {"{\"items\":[{\"key\":\"servers/\\u0000odd\"}],\"hasMore\":true}",
+     "/-/kv-range?prefix=servers/&after=servers/%00odd"},
+    {"{\"items\":[{\"key\":\"servers/\\ud83d\\ude00\"}],\"hasMore\":true}",
+     "/-/kv-range?prefix=servers/&after=servers/%F0%9F%98%80"},
+};
+
+/* Guards against a page that is requested again, or one left out, because its
+ * key was cut at a NUL character. */
+static void
+test_key_of_next_page(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cursor_cases); i++) {
+        const struct CursorCase *row = &cursor_cases[i];
+        json_t *root = GbStoreReply_Parse((const uint8_t *)row->reply,
+                                          strlen(row->reply));
+        struct GbStoreRange range;
+        char *path;
+
+        GbStoreRange_Init(&range, GB_STORE_HOSTS_PREFIX);
+        g_assert_true(GbStoreRange_AddPage(&range, root, 1));
+        path = GbStoreRange_NextPath(&range);
+        g_assert_cmpstr(path, ==, row->path);
+        g_free(path);
+        GbStoreRange_Reset(&range);
+        json_decref(root);
+    }
+}
+
 /* Guards against a list that ends at a page with odd entries only, or that is
  * read from the start for ever. Every tenth item is a good host. */
 static void
@@ -516,6 +612,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/odd-entries/odd-entry", test_odd_entry);
     g_test_add_func("/odd-entries/raw-item", test_raw_item);
+    g_test_add_func("/odd-entries/unreadable-key", test_unreadable_key);
+    g_test_add_func("/odd-entries/key-of-next-page", test_key_of_next_page);
     g_test_add_func("/odd-entries/each-page", test_odd_entries_on_each_page);
     g_test_add_func("/odd-entries/entry-turns-odd", test_entry_turns_odd);
     g_test_add_func("/odd-entries/watch-reply-too-large",
