--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -7,42 +7,18 @@
 #include "protocol/target_json.h"
 #include "protocol/view_delta.h"
 #include "store_item.h"
-#include "store_range.h"
-#include "store_reply.h"
-#include "support/watcher_fixture.h"
+#include "support/host_entries.h"
 #include "transport/task.h"
 
 /* Entries that another writer left among those of the hosts. One of them must
  * neither end a process that reads the list nor keep it from following the
  * list, and the other entries stay in use. */
 
-#define GOOD_KEY "servers/good"
-#define ODD_KEY "servers/odd"
-#define LARGE_BYTES (1024 * 1024)
 /* More than the watcher accepts in one reply. */
 #define TOO_LARGE_BYTES (4 * 1024 * 1024)
 #define KEY_BYTES_MAX 200
 #define PAGED_ITEMS 520
 
-#define FIELD_SERVICE "\"service\":\"hints\""
-#define FIELD_ADDRESS "\"address\":\"10.1.0.5:8080\""
-#define FIELD_ZONE "\"zone\":\"a\""
-#define FIELD_SLOTS "\"slots\":2"
-#define FIELD_STATE "\"state\":\"ready\""
-#define FIELD_COLD "\"coldLeftMs\":0"
-#define FIELD_ORIGIN "\"version\":\"v1\",\"seqNo\":4"
-#define HOST(service, address, zone, slots, state, cold)                      \
-    HOST_FROM(FIELD_ORIGIN, service, address, zone, slots, state, cold)
-#define HOST_FROM(origin, service, address, zone, slots, state, cold)         \
-    "{" service "," address "," zone "," slots "," state "," cold "," origin  \
-    "}"
-#define GOOD_HOST                                                             \
-    HOST(FIELD_SERVICE, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS, FIELD_STATE,  \
-         FIELD_COLD)
-/* Host at an address of its own, beside the entries that are judged. */
-#define OTHER_HOST(state)                                                     \
-    HOST(FIELD_SERVICE, "\"address\":\"10.1.0.6:8080\"", FIELD_ZONE,          \
-         FIELD_SLOTS, state, FIELD_COLD)
 #define WITH_SERVICE(field)                                                   \
     HOST(field, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS, FIELD_STATE,          \
          FIELD_COLD)
@@ -61,12 +37,6 @@
 #define WITH_ORIGIN(text)                                                     \
     HOST_FROM(text, FIELD_SERVICE, FIELD_ADDRESS, FIELD_ZONE, FIELD_SLOTS,    \
               FIELD_STATE, FIELD_COLD)
-#define CONFIG                                                                \
-    "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\","     \
-    "\"prefix\":\"/443/\",\"kind\":\"idempotent\",\"timeoutMs\":1000,"        \
-    "\"latencyGoalMs\":100,\"priority\":2,\"service\":\"hints\"}],"           \
-    "\"services\":[],\"limits\":{}}"
-
 struct OddCase {
     const char *name;
     /* Text of the entry. */
@@ -183,36 +153,6 @@
     return value;
 }
 
-/* Opens a store with one good host and a configuration. */
-static void
-open_fixture(struct GbWatcherFixture *fixture)
-{
-    fixture->store.host_key = GOOD_KEY;
-    fixture->store.host_value = OTHER_HOST(FIELD_STATE);
-    fixture->store.config_value = CONFIG;
-    fixture->store.config_revision = 5;
-    fixture->store.revision = 10;
-    GbWatcherFixture_Open(fixture);
-}
-
-static uint32_t
-count_in_use(struct GbWatcherFixture *fixture, const char *key)
-{
-    struct GbRoutingView *view;
-    uint32_t count = 0;
-
-    fixture->view_store.is_changed = true;
-    view = GbViewStore_TakeView(&fixture->view_store);
-    g_assert_nonnull(view);
-    for (uint32_t i = 0; i < view->list->count; i++) {
-        if (view->list->instances[i].id == GbStoreItem_InstanceId(key)) {
-            count++;
-        }
-    }
-    GbRoutingView_Unref(view);
-    return count;
-}
-
 static void
 check_odd_case(const struct OddCase *row)
 {
@@ -230,10 +170,11 @@
     uint32_t odd_count = row->is_usable ? 1 : 0;
 
     g_test_message("%s", row->name);
-    open_fixture(&fixture);
+    GbHostEntries_Open(&fixture);
     GbWatcherFixture_RunUntilRevision(&fixture, 12);
-    g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
-    g_assert_cmpuint(count_in_use(&fixture, ODD_KEY), ==, odd_count);
+    g_assert_cmpuint(GbHostEntries_CountInUse(&fixture, GOOD_KEY), ==, 1);
+    g_assert_cmpuint(GbHostEntries_CountInUse(&fixture, ODD_KEY), ==,
+                     odd_count);
     g_assert_cmpuint(fixture.store.list_reads, ==, 1);
     g_assert_cmpuint(fixture.counters.values[GB_COUNTER_INSTANCES_UNUSABLE],
                      ==, row->is_usable ? 0 : 2);
@@ -312,107 +253,14 @@
                                                      .watch_count = 1}};
 
         g_test_message("%s", row->name);
-        open_fixture(&fixture);
+        GbHostEntries_Open(&fixture);
         GbWatcherFixture_RunUntilRevision(&fixture, 11);
-        g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
+        g_assert_cmpuint(GbHostEntries_CountInUse(&fixture, GOOD_KEY), ==, 1);
         g_assert_cmpuint(fixture.view_store.entries->len, ==, 1);
         GbWatcherFixture_Close(&fixture);
     }
 }
 
-/* Key that sorts after all unreadable ones but those of raw bytes. */
-#define LAST_KEY "servers/\xef\xbf\xbf"
-
-struct UnreadableKey {
-    /* As it is written in a JSON string. */
-    const char *key;
-    /* 0 for one page: the store of the test compares keys as they are written,
-     * and cannot read NUL characters in a query. */
-    uint32_t page_items;
-};
-
-static const struct UnreadableKey unreadable_keys[] = {
-    {"servers/\\u0000odd", 0},        {"servers/odd\\u0000", 0},
-    {"servers/good\\u0000", 0},       {"servers/\\ud800odd", 1},
-    {"servers/\\ude00\\ud83dodd", 1}, {"servers/odd\\udc00", 1},
-    {"servers/\xff\xfeodd", 0},       {"servers/\xed\xa0\x80odd", 1},
-    {"servers/\x01odd", 1},
-};
-
-/* Guards against a store that no process follows any more because of one key
- * that has a NUL character, half of a surrogate pair or bytes that are no
- * UTF-8: in a list, at the end of a page, among the operators' keys, and in
- * the reply to a watch. */
-static void
-test_unreadable_key(void)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(unreadable_keys); i++) {
-        const char *key = unreadable_keys[i].key;
-        const struct GbFakeItem items[] = {
-            {key, NULL, 0, "\"e30=\""},
-            {LAST_KEY, GOOD_HOST, strlen(GOOD_HOST), NULL},
-        };
-        const struct GbFakeItem operator_item = {key, NULL, 0, "\"e30=\""};
-        const struct GbFakeWatch watches[] = {
-            {HTTP_OK, 11, key, "{}"},
-            {HTTP_OK, 12, key, NULL},
-            {HTTP_OK, 13, GOOD_KEY, OTHER_HOST("\"state\":\"draining\"")},
-        };
-        struct GbWatcherFixture fixture = {
-            .store = {.items = items,
-                      .item_count = 2,
-                      .page_items = unreadable_keys[i].page_items,
-                      .operator_items = &operator_item,
-                      .operator_item_count = 1,
-                      .watches = watches,
-                      .watch_count = 3}};
-
-        g_test_message("%s", key);
-        open_fixture(&fixture);
-        GbWatcherFixture_RunUntilRevision(&fixture, 13);
-        g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
-        g_assert_cmpuint(count_in_use(&fixture, LAST_KEY), ==, 1);
-        g_assert_cmpuint(fixture.view_store.entries->len, ==, 2);
-        GbWatcherFixture_Close(&fixture);
-    }
-}
-
-struct CursorCase {
-    const char *reply;
-    const char *path;
-};
-
-static const struct CursorCase cursor_cases[] = {
-    {"{\"items\":[{\"key\":\"servers/a b\"}],\"hasMore\":true}",
-     "/-/kv-range?prefix=servers/&after=servers/a%20b"},
-    {"{\"items\":[{\"key\":\"servers/\\u0000odd\"}],\"hasMore\":true}",
-     "/-/kv-range?prefix=servers/&after=servers/%00odd"},
-    {"{\"items\":[{\"key\":\"servers/\\ud83d\\ude00\"}],\"hasMore\":true}",
-     "/-/kv-range?prefix=servers/&after=servers/%F0%9F%98%80"},
-};
-
-/* Guards against a page that is requested again, or one left out, because its
- * key was cut at a NUL character. */
-static void
-test_key_of_next_page(void)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(cursor_cases); i++) {
-        const struct CursorCase *row = &cursor_cases[i];
-        json_t *root = GbStoreReply_Parse((const uint8_t *)row->reply,
-                                          strlen(row->reply));
-        struct GbStoreRange range;
-        char *path;
-
-        GbStoreRange_Init(&range, GB_STORE_HOSTS_PREFIX);
-        g_assert_true(GbStoreRange_AddPage(&range, root, 1));
-        path = GbStoreRange_NextPath(&range);
-        g_assert_cmpstr(path, ==, row->path);
-        g_free(path);
-        GbStoreRange_Reset(&range);
-        json_decref(root);
-    }
-}
-
 /* Guards against a list that ends at a page with odd entries only, or that is
  * read from the start for ever. Every tenth item is a good host. */
 static void
@@ -434,7 +282,7 @@
         items[i].size_bytes = is_good ? strlen(GOOD_HOST) : i % 9;
         items[i].raw_value = NULL;
     }
-    open_fixture(&fixture);
+    GbHostEntries_Open(&fixture);
     GbWatcherFixture_RunUntilRevision(&fixture, 11);
     g_assert_cmpuint(fixture.view_store.entries->len, ==,
                      1 + PAGED_ITEMS / 10);
@@ -477,9 +325,9 @@
             .store = {.watches = watches, .watch_count = 3}};
 
         g_test_message("%s", row->name);
-        open_fixture(&fixture);
+        GbHostEntries_Open(&fixture);
         GbWatcherFixture_RunUntilRevision(&fixture, 13);
-        g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==,
+        g_assert_cmpuint(GbHostEntries_CountInUse(&fixture, GOOD_KEY), ==,
                          row->is_in_use ? 1 : 0);
         GbWatcherFixture_Close(&fixture);
     }
@@ -498,10 +346,10 @@
     struct GbWatcherFixture fixture = {
         .store = {.watches = watches, .watch_count = 2}};
 
-    open_fixture(&fixture);
+    GbHostEntries_Open(&fixture);
     GbWatcherFixture_RunUntilRevision(&fixture, 12);
     g_assert_cmpuint(fixture.store.list_reads, ==, 2);
-    g_assert_cmpuint(count_in_use(&fixture, GOOD_KEY), ==, 1);
+    g_assert_cmpuint(GbHostEntries_CountInUse(&fixture, GOOD_KEY), ==, 1);
     GbWatcherFixture_Close(&fixture);
     g_free(large);
 }
@@ -612,8 +460,6 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/odd-entries/odd-entry", test_odd_entry);
     g_test_add_func("/odd-entries/raw-item", test_raw_item);
-    g_test_add_func("/odd-entries/unreadable-key", test_unreadable_key);
-    g_test_add_func("/odd-entries/key-of-next-page", test_key_of_next_page);
     g_test_add_func("/odd-entries/each-page", test_odd_entries_on_each_page);
     g_test_add_func("/odd-entries/entry-turns-odd", test_entry_turns_odd);
     g_test_add_func("/odd-entries/watch-reply-too-large",
