view: keep the address of a former backend's host

Callers: an entry of another writer has the address of a host and an unknown service.

Cause: of two entries at one address, the one whose service has a route was used, else the newer one. After the change no route leads to the host's service, so the newer, odd entry won, and the host's agent was asked in the name of a service that it does not serve. The same held for a host's own entry that another writer overwrites.

Now a service is known while it may own open flows: a route leads to it, or did in the last 60 s.

Before: build/tests/test_view_selection fails at "former backend" ("unknown" for "hints").

--- a/src/coordination/flows/view_selection.c
+++ b/src/coordination/flows/view_selection.c
@@ -2,18 +2,19 @@
 
 /* Returns true if an entry takes the place of another one at its address. An
  * entry of another writer may name a service that does not exist; it must not
- * take the place of an instance that serves a route. */
+ * take the place of an instance that serves a route, or has open flows of
+ * one. */
 static bool
 supersedes(const struct GbViewStore *store, const struct GbViewEntry *entry,
            const struct GbViewEntry *other)
 {
-    bool is_routed =
-        GbRouteTable_HasService(store->routes, entry->instance.service_id);
-    bool is_other_routed =
-        GbRouteTable_HasService(store->routes, other->instance.service_id);
+    bool is_known =
+        GbViewStore_KnowsService(store, entry->instance.service_id);
+    bool is_other_known =
+        GbViewStore_KnowsService(store, other->instance.service_id);
 
-    if (is_routed != is_other_routed) {
-        return is_routed;
+    if (is_known != is_other_known) {
+        return is_known;
     }
     return entry->instance.revision > other->instance.revision;
 }
--- a/src/coordination/flows/view_store.c
+++ b/src/coordination/flows/view_store.c
@@ -113,16 +113,16 @@
     g_hash_table_destroy(listed);
 }
 
-/* Returns true if an instance in use would get a service without a route.
- * Another writer has overwritten its entry then, which names no instance but
- * may be restored. */
+/* Returns true if an instance in use would get a service that no route leads
+ * or has led to. Another writer has overwritten its entry then, which names no
+ * instance but may be restored. */
 static bool
 loses_service(const struct GbViewStore *self, const struct GbViewEntry *entry,
               const struct GbInstance *instance)
 {
     return self->routes != NULL && GbViewEntry_IsInUse(entry) &&
-           GbRouteTable_HasService(self->routes, entry->instance.service_id) &&
-           !GbRouteTable_HasService(self->routes, instance->service_id);
+           GbViewStore_KnowsService(self, entry->instance.service_id) &&
+           !GbViewStore_KnowsService(self, instance->service_id);
 }
 
 /* Returns true if an entry of a restored store may have been written before
@@ -223,6 +223,14 @@
                                       GbClock_MonotonicUs(self->clock));
 }
 
+bool
+GbViewStore_KnowsService(const struct GbViewStore *self, uint64_t service_id)
+{
+    return GbRouteTable_HasService(self->routes, service_id) ||
+           GbRouteHistory_HasService(&self->history, service_id,
+                                     GbClock_MonotonicUs(self->clock));
+}
+
 void
 GbViewStore_PutInstance(struct GbViewStore *self,
                         const struct GbInstance *instance, uint64_t revision)
--- a/src/coordination/flows/view_store.h
+++ b/src/coordination/flows/view_store.h
@@ -79,8 +79,13 @@
  * process got its first ones. */
 bool GbViewStore_NeedsHistory(const struct GbViewStore *self);
 
+/* Returns true if a route leads to a service, or did so within the last 60 s,
+ * so that it may own open flows. The store must have routes. */
+bool GbViewStore_KnowsService(const struct GbViewStore *self,
+                              uint64_t service_id);
+
 /* Adds or updates an instance that was written at this revision. An instance
- * in use whose new service has no route is removed. One that was leaving stays
+ * in use whose new service is not known is removed. One that was leaving stays
  * leaving if the entry may be from the copy that the store was restored
  * from. */
 void GbViewStore_PutInstance(struct GbViewStore *self,
--- a/src/state/route_history.c
+++ b/src/state/route_history.c
@@ -157,6 +157,19 @@
     return false;
 }
 
+bool
+GbRouteHistory_HasService(const struct GbRouteHistory *self,
+                          uint64_t service_id, int64_t now_us)
+{
+    for (uint32_t i = 0; i < self->count; i++) {
+        if (self->former[i].service_id == service_id &&
+            !is_expired(&self->former[i], now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 GbRouteHistory_IsComplete(const struct GbRouteHistory *self, int64_t now_us)
 {
--- a/src/state/route_history.h
+++ b/src/state/route_history.h
@@ -52,6 +52,11 @@
                               const struct GbAddress *address,
                               uint64_t service_id, int64_t now_us);
 
+/* Returns true if a service was a backend of any route within the last
+ * 60 s. */
+bool GbRouteHistory_HasService(const struct GbRouteHistory *self,
+                               uint64_t service_id, int64_t now_us);
+
 /* Returns true if all changes of the last 60 s are known. */
 bool GbRouteHistory_IsComplete(const struct GbRouteHistory *self,
                                int64_t now_us);
