view: young processes tell what they know of former backends

Callers: in the first minute of a system a route moves to another service, then the machines are restarted in turn.

Cause: a process gave the history of the routes to others only if it knew all changes of the last 60 s, and a new process asked three peers, which may be as new. So in the end nobody knew the former backend.

Now each process with routes answers with what it has and from when it is complete, and a new process asks in delays that double, nine times in its first minute. The server keeps an encoded reply by its head, which has a hash of the history now: it would have sent a history of before.

Before: test_view_exchange fails (no update from a young process), and test_view_history (3 questions for 9). Both rows expected the behaviour that is the fault.

--- a/src/coordination/flows/view_gossip.c
+++ b/src/coordination/flows/view_gossip.c
@@ -23,10 +23,10 @@
 /* A process with a reduced view asks one peer of its version for the rest in
  * each of these periods: not every peer has it during a rolling update. */
 #define COMPLETION_PERIOD_US INT64_C(200000)
-/* A process that has read its first view from the platform asks this many
- * peers for the history of the routes. After an outage of all, nobody has it.
- */
-#define HISTORY_PULLS_MAX 3
+/* A process that has started lately asks a peer for the history of the routes,
+ * again and again with twice the delay: the first ones may have started lately
+ * as well, and after an outage of all nobody has it. */
+#define HISTORY_PERIOD_MIN_US INT64_C(200000)
 /* Peers without announcements for longer are removed. */
 #define PEER_IDLE_US INT64_C(10000000)
 /* Peers of a process that has heard from none are the seeds. */
@@ -202,13 +202,13 @@
 static bool
 should_complete(const struct GbViewGossip *self, int64_t now_us)
 {
-    bool is_incomplete =
-        self->store->is_reduced ||
-        (self->history_pulls_left > 0 && GbViewStore_IsComplete(self->store) &&
-         GbViewStore_NeedsHistory(self->store));
+    bool is_due = self->store->is_reduced
+                      ? now_us >= self->next_completion_us
+                      : now_us >= self->next_history_pull_us &&
+                            GbViewStore_IsComplete(self->store) &&
+                            GbViewStore_NeedsHistory(self->store);
 
-    return is_incomplete && self->pull_peer_ipv4 == 0 &&
-           now_us >= self->next_completion_us;
+    return is_due && self->pull_peer_ipv4 == 0;
 }
 
 static void
@@ -217,9 +217,8 @@
                  int64_t now_us)
 {
     self->next_completion_us = now_us + COMPLETION_PERIOD_US;
-    if (self->history_pulls_left > 0) {
-        self->history_pulls_left--;
-    }
+    self->next_history_pull_us = now_us + self->history_period_us;
+    self->history_period_us *= 2;
     start_pull(self, from_ipv4, version, confirmed_us);
 }
 
@@ -257,7 +256,7 @@
     GbViewStartup_Init(&self->startup, config->is_view_urgent,
                        self->next_round_us, random);
     self->replies_left = REPLIES_MAX;
-    self->history_pulls_left = HISTORY_PULLS_MAX;
+    self->history_period_us = HISTORY_PERIOD_MIN_US;
     GbViewFallback_Init(&self->fallback, random);
 }
 
--- a/src/coordination/flows/view_gossip.h
+++ b/src/coordination/flows/view_gossip.h
@@ -75,11 +75,12 @@
      * was confirmed. */
     struct GbViewVersion pull_version;
     int64_t pull_confirmed_us;
-    /* Monotonic time of the next pull of what a reduced view lacks, or of the
-     * history of the routes. */
+    /* Monotonic time of the next pull of what a reduced view lacks. */
     int64_t next_completion_us;
-    /* Pulls of the history that may still be made. */
-    uint32_t history_pulls_left;
+    /* Monotonic time of the next pull of the history of the routes, and the
+     * delay of the one after it. */
+    int64_t next_history_pull_us;
+    int64_t history_period_us;
     /* Replies to announcements that may still be sent in this round. */
     uint32_t replies_left;
     bool is_reading;
--- a/src/state/route_history.c
+++ b/src/state/route_history.c
@@ -1,6 +1,7 @@
 #include "state/route_history.h"
 
 #include <glib.h>
+#include <xxhash.h>
 
 /* The default age at which a flow may be discarded. It does not follow the
  * setting of that age. */
@@ -176,6 +177,21 @@
     return self->complete_from_us <= now_us - RETENTION_US;
 }
 
+uint64_t
+GbRouteHistory_Hash(const struct GbRouteHistory *self)
+{
+    uint64_t hash = (uint64_t)self->complete_from_us;
+
+    for (uint32_t i = 0; i < self->count; i++) {
+        const struct GbFormerBackend *former = &self->former[i];
+        uint64_t parts[4] = {former->address.ipv4, former->address.port,
+                             former->service_id, (uint64_t)former->left_us};
+
+        hash = XXH64(parts, sizeof(parts), hash);
+    }
+    return hash;
+}
+
 void
 GbRouteHistory_Expire(struct GbRouteHistory *self, int64_t now_us)
 {
--- a/src/state/route_history.h
+++ b/src/state/route_history.h
@@ -61,6 +61,10 @@
 bool GbRouteHistory_IsComplete(const struct GbRouteHistory *self,
                                int64_t now_us);
 
+/* Returns a hash of the contents, whose value has no meaning in another
+ * process. */
+uint64_t GbRouteHistory_Hash(const struct GbRouteHistory *self);
+
 /* Removes what is older than 60 s. */
 void GbRouteHistory_Expire(struct GbRouteHistory *self, int64_t now_us);
 
--- a/src/transport/view_exchange.c
+++ b/src/transport/view_exchange.c
@@ -58,18 +58,22 @@
     request->needs_history = (second_half & NEEDS_HISTORY_FLAG) != 0;
 }
 
+/* The history of the routes may change without a new version. */
 static uint64_t
-hash_request(const struct GbViewDeltaRequest *request)
+hash_request(const struct GbViewDeltaRequest *request,
+             const struct GbRouteHistory *history)
 {
-    uint64_t parts[5] = {request->since.revision,
-                         request->since.routes_version, request->format,
-                         request->is_reduced, request->needs_history};
+    uint64_t parts[6] = {
+        request->since.revision, request->since.routes_version,
+        request->format,         request->is_reduced,
+        request->needs_history,  GbRouteHistory_Hash(history)};
 
     return XXH64(parts, sizeof(parts), 0) | IS_DELTA_FLAG;
 }
 
 /* A process with a reduced view gets the rest of the same version, and one
- * that has started lately what peers know of the time before. */
+ * that has started lately what peers know of the time before, even if they do
+ * not know all of it. */
 static bool
 has_news(const struct GbViewStore *store,
          const struct GbViewDeltaRequest *request)
@@ -79,7 +83,7 @@
     return GbViewVersion_IsAhead(&own, &request->since) ||
            (request->is_reduced && !store->is_reduced &&
             own.revision >= request->since.revision) ||
-           (request->needs_history && !GbViewStore_NeedsHistory(store) &&
+           (request->needs_history && store->routes != NULL &&
             own.routes_version >= request->since.routes_version);
 }
 
@@ -105,7 +109,7 @@
     self->delta->revision = MAX(own.revision, request.since.revision);
     write_digest(self->delta->digest,
                  MAX(own.routes_version, request.since.routes_version),
-                 hash_request(&request));
+                 hash_request(&request, &self->view_store->history));
     self->delta->size_bytes = bytes->len;
     self->delta->bytes = g_byte_array_free(bytes, FALSE);
     return self->delta;
