flows: probe other services while the former backends are unknown

Callers: a route moves to another service, then all processes are killed and start again.

Cause: nothing of the routes of before outlives a restart of all, and an agent that has restarted learns of a flow only when a packet reaches its target. Unsure agents of other services were never sent the packet, so nobody reached the owner.

Targets return packets of flows that they do not hold. If all deny the flow, the client is reset at once; it waited for its time-out before.

--- a/src/coordination/flows/flow_location.c
+++ b/src/coordination/flows/flow_location.c
@@ -118,20 +118,21 @@
     self->port->klass->forward(self->port, &probe, ipv4);
 }
 
-/* Sends the packet to the targets of the agents that are unsure, except those
- * of other services, to which it may not belong. Returns false if there are no
- * such agents. */
+/* Sends the packet to the targets of the agents that are unsure. Those of
+ * other services get it only if their service may have been a backend without
+ * this process knowing it. Returns false if there are no such agents. */
 static bool
 start_probes(struct GbFlowAgent *self, struct GbFlowLookup *lookup,
              int64_t now_us)
 {
+    bool has_other_services = needs_other_services(self, now_us);
     bool has_probes = false;
 
     for (uint32_t i = 0; i < lookup->agent_count; i++) {
         struct GbFlowLookupAgent *agent = &lookup->agents[i];
 
         if (agent->reply == GB_FLOW_LOOKUP_UNSURE && !agent->is_probed &&
-            !agent->is_other_service) {
+            (has_other_services || !agent->is_other_service)) {
             agent->is_probed = true;
             has_probes = true;
             send_probe(self, lookup, agent->ipv4);
--- a/src/coordination/flows/flow_location.h
+++ b/src/coordination/flows/flow_location.h
@@ -11,8 +11,9 @@
  * with the client's next packet. balancer_ipv4 is 0 if unknown.
  *
  * Then the agents of all other services are queried. They count as those of
- * the route's services until this process has seen all routes for the greatest
- * age of a flow: the owner may be an agent of a former backend.
+ * the route's services, and are probed like these, until this process has seen
+ * all routes for the greatest age of a flow: the owner may be an agent of a
+ * former backend.
  *
  * Before the first view, the other agents are not known. The packet
  * is kept for the time after which the client repeats it; if no view arrives
