flows: no new flow at a target whose entry is gone

Cause: an agent without a usable target delivered SYN packets to its own one as the only candidate, unless its entry said that it was leaving.

Now a target that was listed and is not any more counts like a leaving one, until it is listed again. A target that was never listed may still get flows: balancers can have its entry earlier.

--- a/src/coordination/flows/flow_admission.c
+++ b/src/coordination/flows/flow_admission.c
@@ -155,11 +155,12 @@
                                   now_us);
 }
 
-/* A leaving target gets no new flows, even if there is no other target. */
+/* A target that is leaving or gone gets no new flows, even if there is no
+ * other target. */
 static bool
 is_own_leaving(const struct GbFlowAgent *self)
 {
-    return self->own != NULL && self->own->is_leaving;
+    return self->is_own_gone || (self->own != NULL && self->own->is_leaving);
 }
 
 /* Places a flow for which no target is usable. */
--- a/src/coordination/flows/flow_agent.c
+++ b/src/coordination/flows/flow_agent.c
@@ -245,6 +245,7 @@
 GbFlowAgent_SetView(struct GbFlowAgent *self, struct GbRoutingView *view)
 {
     int64_t now_us = GbClock_MonotonicUs(self->clock);
+    bool was_listed;
 
     GbFormerAgents_Update(&self->former_agents, self->view, view);
     GbRoutingView_Unref(self->view);
@@ -252,7 +253,9 @@
     GbFlowCompleteness_SetIdleLimit(&self->completeness,
                                     view->routes->idle_timeout_ms * US_PER_MS,
                                     self->config.flow_lifetime_us, now_us);
+    was_listed = self->own != NULL || self->is_own_gone;
     self->own = find_own(self);
+    self->is_own_gone = was_listed && self->own == NULL;
     GbFlowLoad_UpdateTarget(self);
     GbFlowAdmission_ReceiveView(self);
     GbFlowOwner_RecordFormerMembers(self);
--- a/src/coordination/flows/flow_agent_state.h
+++ b/src/coordination/flows/flow_agent_state.h
@@ -57,6 +57,9 @@
     struct GbRoutingView *view;
     /* Own entry in the instance list; NULL if it is not listed. */
     const struct GbInstance *own;
+    /* The own entry was listed and is not any more: the target has left, or
+     * counts as gone. */
+    bool is_own_gone;
     struct GbPacketFlowTable flows;
     struct GbFlowCompleteness completeness;
     struct GbFlowPool pool;
