view: do not use a copy of a drained host's entry

Callers: SYN packets of new flows went to a host that had left, for up to 3 s (soak: "SYN not answered while the system was stable", traced).

Cause: another writer's copy of the entry, older than the drain, was the only entry at the address once the own one had been removed, and it says "ready".

Now an entry that was written between the creation and the last writing of a leaving one at the same address is not used until it is written again. Entries carry the position of their creation, in format 4 of the deltas as well. Only leaving ones refute others: if the own entry merely expires, it cannot be told which one is the copy.

Before: test_view_selection fails at "copied host is drained and leaves".

--- a/src/coordination/flows/view_selection.c
+++ b/src/coordination/flows/view_selection.c
@@ -28,6 +28,46 @@
            1;
 }
 
+/* Returns true if the entry of a leaving instance shows that another one at
+ * its address was written by nobody who runs there: it was there before the
+ * other one and was written again after it, and an address has one instance at
+ * a time. */
+static bool
+refutes(const struct GbViewStore *store, const struct GbViewEntry *entry,
+        const struct GbViewEntry *other)
+{
+    const struct GbInstance *instance = &entry->instance;
+
+    return instance->address.ipv4 == other->instance.address.ipv4 &&
+           instance->is_leaving && instance->created != 0 &&
+           instance->created < other->instance.revision &&
+           other->instance.revision < instance->revision &&
+           GbViewStore_KnowsService(store, instance->service_id);
+}
+
+/* Marks the entries that others at their address refute, whether those are
+ * still there or not. */
+static void
+mark_refuted(const struct GbViewStore *store)
+{
+    GPtrArray *sharing = g_ptr_array_new();
+
+    for (guint i = 0; i < store->entries->len; i++) {
+        if (shares_ipv4(store, store->entries->pdata[i])) {
+            g_ptr_array_add(sharing, store->entries->pdata[i]);
+        }
+    }
+    for (guint i = 0; i < sharing->len; i++) {
+        for (guint j = 0; j < sharing->len; j++) {
+            struct GbViewEntry *other = sharing->pdata[j];
+
+            other->is_refuted =
+                other->is_refuted || refutes(store, sharing->pdata[i], other);
+        }
+    }
+    g_ptr_array_free(sharing, TRUE);
+}
+
 /* Returns the entries that represent the IPv4 addresses with several entries,
  * by address. */
 static GHashTable *
@@ -99,9 +139,11 @@
 struct GbInstanceList *
 GbViewSelection_Apply(struct GbViewStore *store)
 {
-    GHashTable *chosen = choose_by_ipv4(store);
+    GHashTable *chosen;
     struct GbInstanceList *list;
 
+    mark_refuted(store);
+    chosen = choose_by_ipv4(store);
     stop_using_superseded(store, chosen);
     list = list_in_use(store, chosen);
     g_hash_table_destroy(chosen);
--- a/src/coordination/flows/view_store.c
+++ b/src/coordination/flows/view_store.c
@@ -164,7 +164,7 @@
 bool
 GbViewEntry_IsInUse(const struct GbViewEntry *self)
 {
-    return !self->is_removed || self->use_until_us != 0;
+    return (!self->is_removed || self->use_until_us != 0) && !self->is_refuted;
 }
 
 void
@@ -258,7 +258,12 @@
     if (entry->is_removed) {
         g_hash_table_remove(self->tombstones, entry);
     }
+    if (entry->is_refuted) {
+        entry->is_refuted = false;
+        self->is_changed = true;
+    }
     entry->instance.revision = revision;
+    entry->instance.created = instance->created;
     entry->revision = revision;
     entry->is_removed = false;
     entry->use_until_us = 0;
--- a/src/coordination/flows/view_store.h
+++ b/src/coordination/flows/view_store.h
@@ -20,11 +20,15 @@
     int64_t use_until_us;
     /* Monotonic time at which a tombstone is purged. */
     int64_t purge_us;
+    /* Another entry shows that no instance has written this one: see
+     * GbViewSelection_Apply. */
+    bool is_refuted;
     /* Position in GbViewStore.entries. */
     uint32_t index;
 };
 
-/* Returns true if the entry is not removed, or used for a while longer. */
+/* Returns true if the entry is not removed, or used for a while longer, and is
+ * not refuted. */
 bool GbViewEntry_IsInUse(const struct GbViewEntry *self);
 
 /* Versioned routes and instance entries of a process. Neither ever goes back
--- a/src/protocol/view_record_codec.c
+++ b/src/protocol/view_record_codec.c
@@ -14,7 +14,8 @@
 #define EVACUATION_ITEM_COUNT 4
 #define FORMER_BACKEND_ITEM_COUNT 4
 #define BASIC_INSTANCE_ITEM_COUNT 10
-#define INSTANCE_ITEM_COUNT 11
+#define WHOLE_ROUTES_INSTANCE_ITEM_COUNT 11
+#define INSTANCE_ITEM_COUNT 12
 
 #define US_PER_MS INT64_C(1000)
 
@@ -80,18 +81,29 @@
     append_record(out, &writer);
 }
 
+static uint32_t
+instance_item_count(uint32_t format)
+{
+    switch (format) {
+    case GB_VIEW_DELTA_FORMAT_BASIC:
+        return BASIC_INSTANCE_ITEM_COUNT;
+    case GB_VIEW_DELTA_FORMAT_WHOLE_ROUTES:
+        return WHOLE_ROUTES_INSTANCE_ITEM_COUNT;
+    default:
+        return INSTANCE_ITEM_COUNT;
+    }
+}
+
 void
 GbViewRecordCodec_WriteEntry(GByteArray *out, const struct GbViewEntry *entry,
                              uint32_t format)
 {
-    bool is_basic = format == GB_VIEW_DELTA_FORMAT_BASIC;
     const struct GbInstance *instance = &entry->instance;
     uint8_t buffer[RECORD_BYTES_MAX];
     struct GbMsgpackWriter writer;
 
     GbMsgpackWriter_Init(&writer, buffer, sizeof(buffer));
-    GbMsgpackWriter_WriteArrayHeader(
-        &writer, is_basic ? BASIC_INSTANCE_ITEM_COUNT : INSTANCE_ITEM_COUNT);
+    GbMsgpackWriter_WriteArrayHeader(&writer, instance_item_count(format));
     write_text(&writer, instance->name);
     write_text(&writer, instance->service);
     write_text(&writer, instance->data_centre);
@@ -102,9 +114,12 @@
     GbMsgpackWriter_WriteUint(&writer, instance->is_leaving);
     GbMsgpackWriter_WriteUint(&writer, entry->revision);
     GbMsgpackWriter_WriteUint(&writer, entry->is_removed);
-    if (!is_basic) {
+    if (format >= GB_VIEW_DELTA_FORMAT_WHOLE_ROUTES) {
         GbMsgpackWriter_WriteUint(&writer, instance->born_ms);
     }
+    if (format >= GB_VIEW_DELTA_FORMAT) {
+        GbMsgpackWriter_WriteUint(&writer, instance->created);
+    }
     append_record(out, &writer);
 }
 
@@ -134,9 +149,12 @@
     instance->is_leaving = GbMsgpackReader_ReadUint(&reader, 1) == 1;
     entry->revision = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
     entry->is_removed = GbMsgpackReader_ReadUint(&reader, 1) == 1;
-    if (format != GB_VIEW_DELTA_FORMAT_BASIC) {
+    if (format >= GB_VIEW_DELTA_FORMAT_WHOLE_ROUTES) {
         instance->born_ms = GbMsgpackReader_ReadUint(&reader, INT64_MAX);
     }
+    if (format >= GB_VIEW_DELTA_FORMAT) {
+        instance->created = GbMsgpackReader_ReadUint(&reader, UINT64_MAX);
+    }
     return GbMsgpackReader_FinishArray(&reader, used_bytes);
 }
 
--- a/src/state/instance_list.h
+++ b/src/state/instance_list.h
@@ -31,6 +31,8 @@
     /* Position of the store at which the entry was written; only set in lists
      * for packet forwarding. Not compared by GbInstance_Equal. */
     uint64_t revision;
+    /* The same for the first time that the entry was written; 0 if unknown. */
+    uint64_t created;
 };
 
 /* Instance list of the platform, decoded. Immutable once published; shared
@@ -46,7 +48,7 @@
 /* Returns the id of an instance with this name. */
 uint64_t GbInstance_IdOfName(const char *name);
 
-/* Returns true if all fields but the revision are equal. */
+/* Returns true if all fields but the positions are equal. */
 bool GbInstance_Equal(const struct GbInstance *a, const struct GbInstance *b);
 
 /* Allocates an empty list with one reference. */
