platform: let packets pass while a configuration is read

Hypotheses: the amount of work of the readers, or that it comes in one piece.

Cause: processes are scheduled as batch work. The control task held the core for all of a configuration, 5 ms or 90 ms at 0.055 of a core, and packets waited.

--- a/src/transport/task.c
+++ b/src/transport/task.c
@@ -1,6 +1,7 @@
 #include "transport/task.h"
 
 #include <errno.h>
+#include <sched.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -204,3 +205,9 @@
     }
     g_async_queue_unref(self->mailbox);
 }
+
+void
+GbTask_Yield(void)
+{
+    sched_yield();
+}
--- a/src/transport/task.h
+++ b/src/transport/task.h
@@ -97,4 +97,10 @@
 /* Stops the thread if it is running, and releases the task's resources. */
 void GbTask_Close(struct GbTask *self);
 
+/* Lets the other tasks of the process run. Work that takes milliseconds calls
+ * it every tenth of one: processes are scheduled as batch work, so that a
+ * packet would wait for the whole of it, twenty times as long with a twentieth
+ * of a core. */
+void GbTask_Yield(void);
+
 #endif
