--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 bench: build
 	$(BUILD)/bench_forward
 	$(BUILD)/bench_packet
+	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_routes
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
 	GLIBC_TUNABLES=glibc.malloc.tcache_count=0 $(BUILD)/bench_memory
 
