--- a/src/protocol/view_delta.c
+++ b/src/protocol/view_delta.c
@@ -173,7 +173,8 @@
         GbMsgpackWriter_WriteUint(&writer, store->is_reduced);
         GbMsgpackWriter_WriteUint(&writer, content->has_routes);
         GbMsgpackWriter_WriteUint(
-            &writer, content->has_routes ? routes->service_count : 0);
+            &writer,
+            routes != NULL && content->has_routes ? routes->service_count : 0);
         GbMsgpackWriter_WriteUint(&writer, store->evacuations.count);
         GbMsgpackWriter_WriteUint(&writer, content->history.count);
         GbMsgpackWriter_WriteUint(
--- a/tests/test_route_changes.c
+++ b/tests/test_route_changes.c
@@ -167,7 +167,7 @@
 static void
 test_pull(void)
 {
-    uint32_t *variants = g_new(uint32_t, ROUTES_MAX);
+    uint32_t *variants = g_new0(uint32_t, ROUTES_MAX);
 
     for (size_t i = 0; i < G_N_ELEMENTS(pull_cases); i++) {
         const struct PullCase *row = &pull_cases[i];
