test: no client gives up while former backends are unknown

test_flow_resets excused clients that give up where nobody knows the former backends (lacks_history). With the probes of other services that excuse is gone, and two rows restart all agents at once, with and without loss.

--- a/tests/test_flow_resets.c
+++ b/tests/test_flow_resets.c
@@ -74,6 +74,27 @@
       .lacks_history = true},
      false,
      false},
+    {"weights change, all agents restart, without history",
+     {.mean_gap_ms = 1500,
+      .restarts_agents = true,
+      .restarts_all_agents = true,
+      .restarts_balancers = true,
+      .changes_weights = true,
+      .lacks_history = true},
+     false,
+     false},
+    {"the same, and datagrams are lost, repeated and delayed",
+     {.lost_percent = 5,
+      .repeated_percent = 10,
+      .delayed_percent = 10,
+      .mean_gap_ms = 1500,
+      .restarts_agents = true,
+      .restarts_all_agents = true,
+      .restarts_balancers = true,
+      .changes_weights = true,
+      .lacks_history = true},
+     false,
+     false},
     {"datagrams are lost, repeated and delayed",
      {.lost_percent = 5,
       .repeated_percent = 10,
@@ -125,15 +146,13 @@
 
 /* Returns true if no client may give up. Clients of a target that is down get
  * no answer, nor do those whose flow cannot be located for certain because
- * datagrams are lost, an entry is missing or spoilt, or the former backends of
- * the route are not known: a lookup that is not certain does not end in a
- * reset. */
+ * datagrams are lost, or an entry is missing or spoilt: a lookup that is not
+ * certain does not end in a reset. */
 static bool
 can_locate_all_flows(const struct GbFlowFleetFaults *faults)
 {
     return faults->lost_percent == 0 && !faults->crashes_targets &&
-           !faults->spoils_entries && !faults->lapses_entries &&
-           !faults->lacks_history;
+           !faults->spoils_entries && !faults->lapses_entries;
 }
 
 /* Property: a client is reset only if no target has its flow, for any order of
