--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -12,8 +12,10 @@
 #define HTTP_GONE 410
 
 struct SoakItem {
+    /* NULL if the item was deleted. */
     gchar *value;
     uint64_t revision;
+    uint64_t created;
 };
 
 struct SoakWatch {
@@ -46,8 +48,8 @@
         g_base64_encode((const guchar *)item->value, strlen(item->value));
     g_string_append_printf(body,
                            "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":"
-                           "%" PRIu64 ",\"created\":1,\"lease\":0}",
-                           key, encoded, item->revision);
+                           "%" PRIu64 ",\"created\":%" PRIu64 ",\"lease\":0}",
+                           key, encoded, item->revision, item->created);
     g_free(encoded);
 }
 
@@ -253,10 +255,13 @@
 void
 SoakStore_Put(struct SoakStore *self, const char *key, const char *value)
 {
+    const struct SoakItem *before = g_hash_table_lookup(self->items, key);
     struct SoakItem *item = g_new0(struct SoakItem, 1);
 
     item->value = g_strdup(value);
     item->revision = ++self->revision;
+    item->created = before != NULL && before->value != NULL ? before->created
+                                                            : item->revision;
     g_hash_table_replace(self->items, g_strdup(key), item);
     SoakStore_Tick(self);
 }
--- a/tests/soak/soak_targets.c
+++ b/tests/soak/soak_targets.c
@@ -312,10 +312,17 @@
     put_entry(self, key, state, NULL);
 }
 
+/* Keys are written into replies as they are: that of one agent has a NUL
+ * character, and that of another half of a surrogate pair. */
 static void
 format_foreign_key(const struct SoakTarget *self, char key[KEY_BYTES])
 {
-    g_snprintf(key, KEY_BYTES, "servers/inventory-%s", self->agent->name);
+    const char *name = self->agent->name;
+    const char *mark = g_str_has_suffix(name, "-3")   ? "\\u0000"
+                       : g_str_has_suffix(name, "-5") ? "\\ud800"
+                                                      : "";
+
+    g_snprintf(key, KEY_BYTES, "servers/inventory-%s%s", mark, name);
 }
 
 static void
