view: a reduced view does not drive the delay of history pulls

Found on reading the diff: each pull of a reduced view doubled the delay before the next pull of the history, without bound. After 46 of them, 9 s beside old processes, the number overflowed and the process asked for the history with each announcement.

Now only pulls of the history double it, up to 60 s.

Before: test_view_history, reduced-view-does-not-delay-history fails (50 pulls in 10 s for 6). After: 4 of 4; test_view_exchange and test_view_gossip pass.

--- a/src/coordination/flows/view_gossip.c
+++ b/src/coordination/flows/view_gossip.c
@@ -27,6 +27,7 @@
  * again and again with twice the delay: the first ones may have started lately
  * as well, and after an outage of all nobody has it. */
 #define HISTORY_PERIOD_MIN_US INT64_C(200000)
+#define HISTORY_PERIOD_MAX_US INT64_C(60000000)
 /* Peers without announcements for longer are removed. */
 #define PEER_IDLE_US INT64_C(10000000)
 /* Peers of a process that has heard from none are the seeds. */
@@ -216,9 +217,14 @@
                  const struct GbViewVersion *version, int64_t confirmed_us,
                  int64_t now_us)
 {
-    self->next_completion_us = now_us + COMPLETION_PERIOD_US;
-    self->next_history_pull_us = now_us + self->history_period_us;
-    self->history_period_us *= 2;
+    if (self->store->is_reduced) {
+        self->next_completion_us = now_us + COMPLETION_PERIOD_US;
+    }
+    else {
+        self->next_history_pull_us = now_us + self->history_period_us;
+        self->history_period_us =
+            MIN(2 * self->history_period_us, HISTORY_PERIOD_MAX_US);
+    }
     start_pull(self, from_ipv4, version, confirmed_us);
 }
 
--- a/tests/test_view_history.c
+++ b/tests/test_view_history.c
@@ -228,6 +228,46 @@
     }
 }
 
+/* Guards against a process that does not ask for the history any more because
+ * it has asked for the rest of a reduced view again and again, and against
+ * delays that double beyond all numbers. */
+static void
+test_reduced_view_does_not_delay_history(void)
+{
+    const struct GbViewGossipConfig config = {.own_ipv4 = 1};
+    struct PullRecorder port = {.super.klass = &port_class};
+    struct GbInstanceList *list = GbInstanceList_New();
+    struct GbManualClock clock;
+    struct GbSeededRandom random;
+    struct GbViewStore store;
+    struct GbViewGossip gossip;
+
+    GbManualClock_Init(&clock, 1000 * SECOND, 0);
+    GbSeededRandom_Init(&random, 1);
+    GbViewStore_Init(&store, &clock.super);
+    GbViewGossip_Init(&gossip, &config, &port.super, &store, &clock.super,
+                      &random.super);
+    set_routes(&store, 5, false);
+    GbViewStore_SetInstances(&store, list);
+    GbInstanceList_Unref(list);
+    GbViewGossip_RecordConfirmation(&gossip);
+    for (uint32_t round = 0; round < 150; round++) {
+        struct GbViewVersion version = GbViewStore_Version(&store);
+
+        GbViewStore_SetReduced(&store, round < 100);
+        if (round == 100) {
+            g_assert_cmpuint(port.pulls, ==, 100);
+            port.pulls = 0;
+        }
+        GbManualClock_Advance(&clock, SECOND / 5);
+        GbViewGossip_ReceiveAnnouncement(&gossip, PEER_IPV4, &version, 0);
+        GbViewGossip_FinishPull(&gossip);
+    }
+    /* 10 s: delays of 0.2 s to 3.2 s. */
+    g_assert_cmpuint(port.pulls, ==, 6);
+    GbViewStore_Finish(&store);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -238,5 +278,7 @@
                     test_several_peers_know_a_part);
     g_test_add_func("/view-history/process-asks-for-history",
                     test_process_asks_for_history);
+    g_test_add_func("/view-history/reduced-view-does-not-delay-history",
+                    test_reduced_view_does_not_delay_history);
     return g_test_run();
 }
