soak: a pause does not count as time to stop

Trace: SIGTERM at 4.014 s, SIGSTOP from 7.444 s to 10.127 s, the bound of 6 s passed at 10.02 s, while the process was stopped. The time of the pause is left out now, and the bound stays.

--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -35,6 +35,7 @@
     /* NULL while the process does not run. */
     struct GbChildProcess *process;
     bool is_paused;
+    int64_t paused_at_ms;
     /* When SIGTERM or SIGKILL was first sent; 0 if neither was. */
     int64_t stop_requested_ms;
     bool is_killed;
--- a/tests/soak/soak_process.c
+++ b/tests/soak/soak_process.c
@@ -203,7 +203,10 @@
 {
     if (self->process != NULL) {
         GbChildProcess_Signal(self->process, SIGSTOP);
-        self->is_paused = true;
+        if (!self->is_paused) {
+            self->is_paused = true;
+            self->paused_at_ms = Soak_NowMs();
+        }
     }
 }
 
@@ -213,6 +216,10 @@
     if (self->process != NULL && self->is_paused) {
         GbChildProcess_Signal(self->process, SIGCONT);
         self->is_paused = false;
+        if (self->stop_requested_ms != 0) {
+            /* It could not stop meanwhile. */
+            self->stop_requested_ms += Soak_NowMs() - self->paused_at_ms;
+        }
     }
 }
 
@@ -231,7 +238,7 @@
         handle_exit(self);
     }
     if (self->process != NULL && self->stop_requested_ms != 0 &&
-        !self->is_killed &&
+        !self->is_killed && !self->is_paused &&
         now_ms - self->stop_requested_ms > STOP_TIMEOUT_MS) {
         SoakInvariants_ReportViolation(&self->harness->invariants,
                                        "%s did not exit after SIGTERM",
